--- /dev/null
+++ b/apps/instance/main.cpp
@@ -0,0 +1,122 @@
+/// \file
+/// kingcuphub-instance: an entry instance in one process, on the users'
+/// platform.
+
+#include "adapter.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/program.h"
+#include "instance/instance.h"
+
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+#include <string>
+
+namespace {
+
+using namespace kingcuphub;
+
+constexpr const char *ProgramName = "kingcuphub-instance";
+
+base::Result<instance::Settings> readAgain(const std::string &FileName) {
+  auto Json = base::readJsonFile(FileName);
+  if (!Json)
+    return tl::unexpected(Json.error());
+  std::vector<base::SettingsProblem> Problems;
+  base::SettingsReader Reader(*Json, "", Problems);
+  instance::Settings Out = instance::parseSettings(Reader);
+  Reader.finish();
+  if (!Problems.empty())
+    return tl::unexpected(base::settingsError(Problems));
+  return Out;
+}
+
+/// Acts on signals until the instance has stopped.
+class Signals {
+public:
+  Signals(asio::io_context &Loop, instance::Instance &Running,
+          std::string FileName)
+      : Loop(Loop), Running(Running), FileName(std::move(FileName)),
+        Raw(Loop, SIGTERM, SIGINT, SIGHUP) {
+    this->wait();
+  }
+
+private:
+  void wait() {
+    this->Raw.async_wait([this](asio::error_code Failed, int Number) {
+      if (Failed)
+        return;
+      if (Number == SIGHUP)
+        this->reload();
+      else
+        this->Running.stop([this] { this->Loop.stop(); });
+      this->wait();
+    });
+  }
+
+  void reload() {
+    if (auto New = readAgain(this->FileName))
+      this->Running.reload(*New);
+    else
+      base::logEvent(base::LogLevel::Error, "settings-rejected",
+                     {{"why", New.error().Message}});
+  }
+
+  asio::io_context &Loop;
+  instance::Instance &Running;
+  std::string FileName;
+  asio::signal_set Raw;
+};
+
+int serve(const instance::Settings &Options, const std::string &FileName) {
+  base::startLog(ProgramName, Options.Name.Value, Options.Level,
+                 base::LogOutput::StandardOutput);
+  base::BootClock Clock;
+  asio::io_context Loop(1);
+  auto Started =
+      instance::startInstance(Loop, Options, platform::makeAdapter(), Clock);
+  if (!Started) {
+    base::logEvent(base::LogLevel::Error, "not-started",
+                   {{"why", Started.error().Message}});
+    std::cerr << ProgramName << ": " << Started.error().Message << "\n";
+    base::finishLog();
+    return base::ExitFailed;
+  }
+  base::logEvent(base::LogLevel::Info, "started",
+                 {{"zone", Options.Zone.Value},
+                  {"callers", Options.Callers.text()},
+                  {"store", Options.Store.text()}});
+  Signals Watched(Loop, **Started, FileName);
+  Loop.run();
+  Started->reset();
+  base::finishLog();
+  return base::ExitOk;
+}
+
+} // namespace
+
+int main(int Count, char **Words) {
+  std::signal(SIGPIPE, SIG_IGN);
+  // The platform tells the settings file in the environment only.
+  std::string FileName;
+  std::vector<const char *> Args(Words, Words + Count);
+  if (const char *Told = platform::settingsPath();
+      Told != nullptr && Count == 1) {
+    FileName = Told;
+    Args.insert(Args.end(), {"--config", FileName.c_str()});
+  }
+  for (std::size_t Index = 0; Index + 1 < Args.size(); ++Index)
+    if (std::string(Args[Index]) == "--config")
+      FileName = Args[Index + 1];
+  instance::Settings Options;
+  auto Ended = base::readProgramSettings(
+      {ProgramName,
+       "Takes callers' requests and places models, in one process.",
+       instance::exampleSettings()},
+      static_cast<int>(Args.size()), Args.data(),
+      [&Options](base::SettingsReader &Reader) {
+        Options = instance::parseSettings(Reader);
+      });
+  return Ended ? *Ended : serve(Options, FileName);
+}
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -31,6 +31,14 @@
   WallTime wallNow() const override;
 };
 
+/// The machine's clocks, of which now() also counts the time for which the
+/// machine was suspended: what was known before is as old as it really is.
+class BootClock final : public Clock {
+public:
+  TimePoint now() const override;
+  WallTime wallNow() const override;
+};
+
 /// A clock that a test or a simulation moves by hand.
 class ManualClock final : public Clock {
 public:
--- a/src/base/internal/clock.cpp
+++ b/src/base/internal/clock.cpp
@@ -1,5 +1,7 @@
 #include "base/clock.h"
 
+#include <ctime>
+
 namespace kingcuphub::base {
 
 TimePoint SystemClock::now() const { return std::chrono::steady_clock::now(); }
@@ -9,6 +11,16 @@
       std::chrono::system_clock::now());
 }
 
+TimePoint BootClock::now() const {
+  timespec Time{};
+  if (clock_gettime(CLOCK_BOOTTIME, &Time) != 0)
+    return std::chrono::steady_clock::now();
+  return TimePoint(std::chrono::seconds(Time.tv_sec) +
+                   std::chrono::nanoseconds(Time.tv_nsec));
+}
+
+WallTime BootClock::wallNow() const { return SystemClock().wallNow(); }
+
 void ManualClock::advance(Duration Step) {
   this->Current += Step;
   this->CurrentWall +=
--- a/src/base/internal/log.cpp
+++ b/src/base/internal/log.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -12,6 +13,9 @@
 
 namespace {
 
+/// Lines that wait to be written: some seconds of a busy instance.
+constexpr int BufferedLines = 2048;
+
 struct LogIdentity {
   std::string Program;
   std::string Instance;
@@ -57,17 +61,26 @@
 
 } // namespace
 
-void startLog(std::string Program, std::string Instance, LogLevel Least) {
+void startLog(std::string Program, std::string Instance, LogLevel Least,
+              LogOutput Output) {
   identity() = {std::move(Program), std::move(Instance)};
   auto Layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
-  auto Appender = std::make_shared<log4cxx::ConsoleAppender>(
-      Layout, log4cxx::ConsoleAppender::getSystemErr());
+  auto Console = std::make_shared<log4cxx::ConsoleAppender>(
+      Layout, Output == LogOutput::StandardOutput
+                  ? log4cxx::ConsoleAppender::getSystemOut()
+                  : log4cxx::ConsoleAppender::getSystemErr());
+  auto Appender = std::make_shared<log4cxx::AsyncAppender>();
+  Appender->addAppender(Console);
+  Appender->setBufferSize(BufferedLines);
+  Appender->setBlocking(false);
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(Appender);
   logger() = log4cxx::Logger::getRootLogger();
   logger()->setLevel(levelOf(Least));
 }
 
+void finishLog() { log4cxx::BasicConfigurator::resetConfiguration(); }
+
 LogLevel parseLogLevel(std::string_view Name) {
   if (Name == "debug")
     return LogLevel::Debug;
@@ -89,7 +102,8 @@
       {"program", identity().Program},
       {"instance", identity().Instance},
       {"event", Event}};
-  Line.update(Fields);
+  if (Fields.is_object())
+    Line.update(Fields);
   Root->forcedLog(
       levelOf(Level),
       Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
--- /dev/null
+++ b/src/catalog/internal/targettable.cpp
@@ -0,0 +1,158 @@
+#include "catalog/targettable.h"
+
+#include <utility>
+
+namespace kingcuphub::catalog {
+
+std::string_view targetChangeName(TargetChange::Kind What) {
+  switch (What) {
+  case TargetChange::Kind::Added:
+    return "added";
+  case TargetChange::Kind::Restarted:
+    return "restarted";
+  case TargetChange::Kind::Leaving:
+    return "leaving";
+  case TargetChange::Kind::TurnedCold:
+    return "turned-cold";
+  case TargetChange::Kind::LapseDoubted:
+    return "lapse-doubted";
+  case TargetChange::Kind::Removed:
+    return "removed";
+  case TargetChange::Kind::ZoneOut:
+    return "zone-out";
+  case TargetChange::Kind::ZoneBack:
+    return "zone-back";
+  }
+  return "changed";
+}
+
+void TargetTable::note(TargetChange::Kind What, const Target &Of) {
+  this->Changes.push_back(
+      {What, Of.Entry.Id, Of.Entry.Lifetime, Of.Entry.Zone});
+  this->Published.reset();
+}
+
+void TargetTable::onOutage(base::TimePoint Now) { this->LastOutage = Now; }
+
+bool TargetTable::isOld(const TargetEntry &Entry) const {
+  auto Found = this->Newest.find(Entry.Id);
+  if (Found == this->Newest.end())
+    return false;
+  if (Entry.Lifetime != Found->second.Lifetime)
+    return Entry.Lifetime < Found->second.Lifetime;
+  return Entry.Beat <= Found->second.Beat;
+}
+
+void TargetTable::onEntry(const TargetEntry &Entry, base::TimePoint Now) {
+  if (this->isOld(Entry))
+    return;
+  this->Newest[Entry.Id] = {Entry.Lifetime, Entry.Beat};
+  this->Doubted.erase(Entry.Id);
+  Target New;
+  New.Entry = Entry;
+  New.ReadAt = Now;
+  New.ColdUntil = Now + Entry.ColdFor;
+  if (Entry.TimeLeft)
+    New.EndsAt = Now + *Entry.TimeLeft;
+  auto [At, Added] = this->Current.Targets.try_emplace(Entry.Id, New);
+  if (Added) {
+    this->note(TargetChange::Kind::Added, New);
+    if (Entry.Leaving)
+      this->note(TargetChange::Kind::Leaving, New);
+    return;
+  }
+  Target Old = std::exchange(At->second, New);
+  bool SameLife = Old.Entry.Lifetime == Entry.Lifetime;
+  // Within one lifetime, a target that leaves does not come back.
+  At->second.Entry.Leaving |= SameLife && Old.Entry.Leaving;
+  if (!At->second.EndsAt && SameLife)
+    At->second.EndsAt = Old.EndsAt;
+  this->Published.reset();
+  if (!SameLife)
+    this->note(TargetChange::Kind::Restarted, New);
+  if (At->second.Entry.Leaving && (!SameLife || !Old.Entry.Leaving))
+    this->note(TargetChange::Kind::Leaving, New);
+  if (New.ColdUntil > Now && Old.ColdUntil <= Now)
+    this->note(TargetChange::Kind::TurnedCold, New);
+}
+
+void TargetTable::onRemoved(const base::TargetId &Id, base::TimePoint Now) {
+  auto Found = this->Current.Targets.find(Id);
+  if (Found == this->Current.Targets.end())
+    return;
+  bool AroundOutage =
+      this->LastOutage && Now < *this->LastOutage + this->Settings.LapseGrace;
+  if (!AroundOutage || Found->second.Entry.Leaving) {
+    this->remove(Id);
+    return;
+  }
+  auto [At, New] = this->Doubted.try_emplace(Id, *this->LastOutage +
+                                                     this->Settings.LapseGrace);
+  if (New)
+    this->note(TargetChange::Kind::LapseDoubted, Found->second);
+}
+
+void TargetTable::onWholeList(const std::vector<TargetEntry> &Entries,
+                              base::TimePoint Now) {
+  std::set<base::TargetId> Listed;
+  for (const TargetEntry &Each : Entries) {
+    Listed.insert(Each.Id);
+    this->onEntry(Each, Now);
+  }
+  std::vector<base::TargetId> Absent;
+  for (const auto &[Id, Each] : this->Current.Targets)
+    if (Listed.count(Id) == 0)
+      Absent.push_back(Id);
+  for (const base::TargetId &Id : Absent)
+    this->onRemoved(Id, Now);
+}
+
+void TargetTable::remove(const base::TargetId &Id) {
+  this->Doubted.erase(Id);
+  auto Found = this->Current.Targets.find(Id);
+  if (Found == this->Current.Targets.end())
+    return;
+  this->note(TargetChange::Kind::Removed, Found->second);
+  this->Current.Targets.erase(Found);
+}
+
+void TargetTable::setZonesOut(std::set<base::ZoneId> Zones) {
+  if (Zones == this->Current.ZonesOut)
+    return;
+  for (const base::ZoneId &Each : Zones)
+    if (this->Current.ZonesOut.count(Each) == 0)
+      this->Changes.push_back({TargetChange::Kind::ZoneOut, {}, {}, Each});
+  for (const base::ZoneId &Each : this->Current.ZonesOut)
+    if (Zones.count(Each) == 0)
+      this->Changes.push_back({TargetChange::Kind::ZoneBack, {}, {}, Each});
+  this->Current.ZonesOut = std::move(Zones);
+  this->Published.reset();
+}
+
+void TargetTable::tick(base::TimePoint Now) {
+  std::vector<base::TargetId> Gone;
+  for (const auto &[Id, Until] : this->Doubted)
+    if (Now >= Until)
+      Gone.push_back(Id);
+  for (const base::TargetId &Id : Gone)
+    this->remove(Id);
+  for (const auto &[Id, Each] : this->Current.Targets)
+    if (Each.EndsAt && *Each.EndsAt <= Now)
+      Gone.push_back(Id);
+  for (const base::TargetId &Id : Gone)
+    this->remove(Id);
+}
+
+TargetListPtr TargetTable::list() {
+  if (!this->Published) {
+    ++this->Current.Revision;
+    this->Published = std::make_shared<const TargetList>(this->Current);
+  }
+  return this->Published;
+}
+
+std::vector<TargetChange> TargetTable::takeChanges() {
+  return std::exchange(this->Changes, {});
+}
+
+} // namespace kingcuphub::catalog
--- /dev/null
+++ b/src/control/control.h
@@ -0,0 +1,76 @@
+#ifndef KINGCUPHUB_CONTROL_CONTROL_H
+#define KINGCUPHUB_CONTROL_CONTROL_H
+
+/// \file
+/// The control side of an instance: believes what the store says, tells the
+/// traffic side, reports its demand to the holder of the lease, and is that
+/// holder while it has the lease. Everything happens on the thread that runs
+/// the loop.
+
+#include "base/clock.h"
+#include "catalog/targettable.h"
+#include "control/controlstore.h"
+#include "control/trafficport.h"
+#include "dispatch/usageshares.h"
+#include "messaging/messaging.h"
+#include "metrics/registry.h"
+#include "residency/holder.h"
+#include "residency/holderlease.h"
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace kingcuphub::control {
+
+struct ControlSettings {
+  base::InstanceId Self;
+  base::Incarnation Incarnation;
+  /// Where other instances reach this one, as `tcp://ADDRESS:PORT`.
+  std::string LinkEndpoint;
+  residency::HolderLeaseSettings Lease;
+  residency::HolderSettings Holder;
+  dispatch::UsageSharesSettings Shares;
+  catalog::TargetTableSettings Targets;
+  /// How often demand is told to the holder: often enough to follow a shift of
+  /// demand within a second.
+  std::chrono::milliseconds ReportEvery{250};
+  /// The least time between two reports where a request waits for a model or
+  /// adapter to be loaded.
+  std::chrono::milliseconds UrgentReportEvery{5};
+  std::chrono::milliseconds Tick{50};
+  /// How long the holder's word on what engines hold is good for.
+  std::chrono::milliseconds HeldFor{2000};
+  /// An instance that was not heard for this long no longer counts where
+  /// limits are split.
+  std::chrono::milliseconds InstanceFor{60000};
+  /// A new holder takes this long to hear of all instances.
+  std::chrono::milliseconds CountAfter{2000};
+  /// A tick that comes this much late means that the process was stopped.
+  std::chrono::milliseconds StoppedAbove{800};
+};
+
+class Control {
+public:
+  virtual ~Control() = default;
+  virtual void start() = 0;
+  /// The traffic side has a request that waits for a model or adapter.
+  virtual void onWanted() = 0;
+  /// Whether catalog and targets have been read.
+  virtual bool ready() const = 0;
+  /// \p Ready is called once they have.
+  virtual void onReady(std::function<void()> Ready) = 0;
+  /// Gives the lease back and calls \p Done, in any case within a second.
+  virtual void leave(std::function<void()> Done) = 0;
+};
+
+std::unique_ptr<Control>
+makeControl(asio::io_context &Loop, ControlSettings Settings,
+            ControlStore &Store, EngineClient &Engines,
+            messaging::Messaging &Messages, TrafficPort &Traffic,
+            const base::Clock &Clock, metrics::Registry &Metrics);
+
+} // namespace kingcuphub::control
+
+#endif // KINGCUPHUB_CONTROL_CONTROL_H
--- /dev/null
+++ b/src/control/internal/control.cpp
@@ -0,0 +1,373 @@
+#include "control/control.h"
+
+#include "base/visitor.h"
+
+#include "base/log.h"
+#include "holderside.h"
+
+#include <algorithm>
+#include <asio/steady_timer.hpp>
+#include <random>
+#include <utility>
+
+namespace kingcuphub::control {
+
+namespace {
+
+/// The least time for which a stopping holder waits for its lease's release.
+constexpr std::chrono::milliseconds ReleaseTimeout{700};
+
+std::int64_t millis(base::Duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+class WholeControl final : public Control {
+public:
+  WholeControl(asio::io_context &Loop, ControlSettings NewSettings,
+               ControlStore &Store, EngineClient &Engines,
+               messaging::Messaging &Messages, TrafficPort &Traffic,
+               const base::Clock &Clock, metrics::Registry &Metrics)
+      : Settings(std::move(NewSettings)), Store(Store), Messages(Messages),
+        Traffic(Traffic), Clock(Clock), Metrics(Metrics),
+        Table(this->Settings.Targets),
+        Lease(this->Settings.Self, this->Settings.Incarnation,
+              this->Settings.LinkEndpoint, this->Settings.Lease,
+              std::random_device{}()),
+        Holding(Loop, this->Settings, Engines, this->Lease, Clock, Metrics),
+        TickTimer(Loop), ReportTimer(Loop), LeaveTimer(Loop) {}
+
+  WholeControl(const WholeControl &) = delete;
+  WholeControl &operator=(const WholeControl &) = delete;
+  ~WholeControl() override { *this->Alive = false; }
+
+  void start() override {
+    if (auto Listening = this->Holding.listen(this->Messages); !Listening)
+      base::logEvent(base::LogLevel::Error, "link-not-listening",
+                     {{"why", Listening.error().Message}});
+    StoreEvents Events;
+    Events.OnCatalog = [this](catalog::CatalogPtr New) {
+      this->onCatalog(std::move(New));
+    };
+    Events.OnZonesOut = [this](std::set<base::ZoneId> Zones) {
+      this->Table.setZonesOut(std::move(Zones));
+      this->publishTargets();
+    };
+    Events.OnTargets = [this](const auto &Updates, bool Whole) {
+      this->onTargets(Updates, Whole);
+    };
+    Events.OnLease = [this](const auto &Record, residency::LeaseEnd End) {
+      this->onLease(Record, End);
+    };
+    Events.OnHealth = [this](const StoreHealth &How) { this->onHealth(How); };
+    this->Store.start(std::move(Events));
+    this->TickedAt = this->Clock.now();
+    this->tick();
+    this->scheduleReport(this->Settings.ReportEvery);
+  }
+
+  void onWanted() override {
+    if (std::exchange(this->Urgent, true))
+      return;
+    base::TimePoint Next = this->ReportedAt + this->Settings.UrgentReportEvery;
+    auto Wait = std::max<base::Duration>(Next - this->Clock.now(),
+                                         base::Duration::zero());
+    this->scheduleReport(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Wait));
+  }
+
+  bool ready() const override {
+    return this->HasTargets && this->Catalog != nullptr;
+  }
+
+  void onReady(std::function<void()> NewReady) override {
+    this->Ready = std::move(NewReady);
+    this->checkReady();
+  }
+
+  void leave(std::function<void()> Done) override {
+    auto Release = this->Lease.release(this->Clock.now());
+    this->Holding.checkLease();
+    if (!Release) {
+      Done();
+      return;
+    }
+    auto Once = std::make_shared<std::function<void()>>(std::move(Done));
+    auto Finish = [Once] {
+      if (auto Call = std::exchange(*Once, nullptr))
+        Call();
+    };
+    this->Store.append(*Release, [Finish](AppendEnd) { Finish(); });
+    this->LeaveTimer.expires_after(ReleaseTimeout);
+    this->LeaveTimer.async_wait([Finish](asio::error_code) { Finish(); });
+  }
+
+private:
+  void checkReady() {
+    if (this->ready() && this->Ready)
+      std::exchange(this->Ready, nullptr)();
+  }
+
+  void onCatalog(catalog::CatalogPtr New) {
+    // A version never goes back within one life of the process.
+    if (this->Catalog && New->Version <= this->Catalog->Version)
+      return;
+    base::logEvent(
+        base::LogLevel::Info, "catalog",
+        {{"version", New->Version.Value},
+         {"before", this->Catalog ? this->Catalog->Version.Value : 0},
+         {"routes", New->Routes.size()},
+         {"accounts", New->Accounts.size()}});
+    this->Metrics.counter("catalog_version")
+        .set(static_cast<std::int64_t>(New->Version.Value));
+    this->Catalog = New;
+    this->Holding.setCatalog(New);
+    this->Traffic.setCatalog(std::move(New));
+    this->checkReady();
+  }
+
+  void onTargets(const std::vector<TargetUpdate> &Updates, bool Whole) {
+    base::TimePoint Now = this->Clock.now();
+    if (Whole) {
+      std::vector<catalog::TargetEntry> Entries;
+      for (const TargetUpdate &Each : Updates)
+        if (auto *Entry = std::get_if<catalog::TargetEntry>(&Each))
+          Entries.push_back(*Entry);
+      this->Table.onWholeList(Entries, Now);
+    } else {
+      for (const TargetUpdate &Each : Updates)
+        std::visit(base::Visitor{[&](const catalog::TargetEntry &Entry) {
+                                   this->Table.onEntry(Entry, Now);
+                                 },
+                                 [&](const TargetRemoved &Removed) {
+                                   this->Table.onRemoved(Removed.Id, Now);
+                                 }},
+                   Each);
+    }
+    this->HasTargets = true;
+    this->publishTargets();
+    this->checkReady();
+  }
+
+  void publishTargets() {
+    for (const catalog::TargetChange &Each : this->Table.takeChanges())
+      base::logEvent(base::LogLevel::Info, "target-change",
+                     {{"what", catalog::targetChangeName(Each.What)},
+                      {"target", Each.Target.Value},
+                      {"lifetime", Each.Lifetime.Value},
+                      {"zone", Each.Zone.Value}});
+    catalog::TargetListPtr Now = this->Table.list();
+    if (!this->HasTargets || Now == this->Published)
+      return;
+    this->Published = Now;
+    this->Holding.setTargets(Now);
+    this->Traffic.setTargets(std::move(Now));
+  }
+
+  void onLease(const std::optional<residency::LeaseRecord> &Record,
+               residency::LeaseEnd End) {
+    this->Lease.onRead(Record, End, this->Clock.now());
+    this->followHolder();
+    this->Holding.checkLease();
+  }
+
+  /// Connects to the instance that holds the lease, this one included.
+  void followHolder() {
+    const auto &Record = this->Lease.record();
+    std::string Endpoint =
+        Record && !Record->Released ? Record->Endpoint : std::string();
+    if (Endpoint == this->HolderEndpoint)
+      return;
+    this->HolderEndpoint = Endpoint;
+    this->Link.reset();
+    base::logEvent(base::LogLevel::Info, "holder",
+                   {{"endpoint", Endpoint},
+                    {"instance", Record ? Record->Holder.Value : ""},
+                    {"token", Record ? Record->Token.Value : 0}});
+    if (Endpoint.empty())
+      return;
+    auto Connected = this->Messages.connect(
+        Endpoint, [this](std::string_view Bytes) { this->onReply(Bytes); });
+    if (Connected)
+      this->Link = std::move(*Connected);
+    else
+      base::logEvent(
+          base::LogLevel::Error, "holder-unreachable",
+          {{"endpoint", Endpoint}, {"why", Connected.error().Message}});
+  }
+
+  void onHealth(const StoreHealth &How) {
+    if (!How.Reachable)
+      this->Table.onOutage(this->Clock.now());
+    auto [Known, New] =
+        this->Reachable.try_emplace(std::string(How.Reading), true);
+    if (Known->second == How.Reachable)
+      return;
+    Known->second = How.Reachable;
+    base::logEvent(How.Reachable ? base::LogLevel::Info : base::LogLevel::Warn,
+                   How.Reachable ? "store-regained" : "store-lost",
+                   {{"reading", How.Reading}, {"detail", How.Detail}});
+    this->Metrics.counter(How.Reachable ? "store_regained" : "store_lost")
+        .add();
+  }
+
+  void tick() {
+    base::TimePoint Now = this->Clock.now();
+    this->noticeStop(Now);
+    this->Table.tick(Now);
+    this->publishTargets();
+    this->renewLease(Now);
+    this->Holding.tick();
+    this->TickTimer.expires_after(this->Settings.Tick);
+    this->TickTimer.async_wait([this](asio::error_code Failed) {
+      if (!Failed)
+        this->tick();
+    });
+  }
+
+  void noticeStop(base::TimePoint Now) {
+    base::Duration Late = Now - this->TickedAt - this->Settings.Tick;
+    this->TickedAt = Now;
+    if (Late < this->Settings.StoppedAbove)
+      return;
+    base::logEvent(base::LogLevel::Warn, "was-stopped",
+                   {{"for_ms", millis(Late)}});
+    this->Metrics.counter("was_stopped").add();
+  }
+
+  void renewLease(base::TimePoint Now) {
+    auto Append = this->Lease.tick(this->Holding.instances(), Now);
+    if (!Append)
+      return;
+    this->Store.append(
+        *Append, [this, Live = this->Alive, Sent = *Append](AppendEnd How) {
+          if (*Live)
+            this->onAppendEnd(Sent, How);
+        });
+  }
+
+  void onAppendEnd(const residency::LeaseAppend &Sent, AppendEnd How) {
+    if (How == AppendEnd::Appended) {
+      this->Lease.onAppended(Sent, this->Clock.now());
+    } else {
+      base::logEvent(
+          base::LogLevel::Warn, "lease-not-appended",
+          {{"at", Sent.At.Value},
+           {"outcome", How == AppendEnd::Unknown ? "unknown" : "refused"}});
+      this->Lease.onNotAppended(Sent);
+      // The follower starts again from the newest record.
+      this->Store.followLease(false);
+      this->Store.followLease(true);
+    }
+    this->followHolder();
+    this->Holding.checkLease();
+  }
+
+  void scheduleReport(std::chrono::milliseconds After) {
+    this->ReportTimer.expires_after(After);
+    this->ReportTimer.async_wait([this](asio::error_code Failed) {
+      if (!Failed)
+        this->report();
+    });
+  }
+
+  void report() {
+    this->Urgent = false;
+    this->ReportedAt = this->Clock.now();
+    this->scheduleReport(this->Settings.ReportEvery);
+    if (!this->Link)
+      return;
+    this->Traffic.takeUse(
+        [this, Live = this->Alive](const forwarding::TrafficUse &Use) {
+          if (*Live)
+            this->sendReport(Use);
+        });
+  }
+
+  void sendReport(const forwarding::TrafficUse &Use) {
+    if (!this->Link)
+      return;
+    wire::InstanceReport Out;
+    Out.set_instance(this->Settings.Self.Value);
+    Out.set_incarnation(this->Settings.Incarnation.Value);
+    Out.set_number(++this->ReportNumber);
+    Out.set_held_revision(this->HeldRevision);
+    Out.set_held_token(this->HeldToken);
+    writeUse(Use, Out);
+    this->Asked[this->ReportNumber] = this->Clock.now();
+    while (this->Asked.size() > MaxAsked)
+      this->Asked.erase(this->Asked.begin());
+    this->Link->send(Out.SerializeAsString());
+  }
+
+  void onReply(std::string_view Bytes) {
+    wire::HolderReply Reply;
+    if (!Reply.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size()))) {
+      base::logEvent(base::LogLevel::Warn, "holder-reply-unreadable",
+                     {{"bytes", Bytes.size()}});
+      return;
+    }
+    base::TimePoint Now = this->Clock.now();
+    // A former holder's words count for nothing.
+    if (Reply.token() < this->HeldToken)
+      return;
+    this->HeldToken = Reply.token();
+    this->HeldRevision = Reply.held_revision();
+    if (Reply.held_included())
+      this->Held = readHeld(Reply);
+    this->Traffic.setHeld(this->Held, Now + this->Settings.HeldFor);
+    if (Reply.instances() > 0)
+      this->Traffic.setInstances(Reply.instances());
+    auto AskedAt = this->Asked.find(Reply.number());
+    if (AskedAt == this->Asked.end())
+      return;
+    this->Traffic.setGrants(readGrants(Reply),
+                            AskedAt->second + this->Settings.Shares.GrantLasts);
+    this->Asked.erase(this->Asked.begin(), std::next(AskedAt));
+  }
+
+  /// Reports whose answers are still waited for.
+  static constexpr std::size_t MaxAsked = 64;
+
+  ControlSettings Settings;
+  ControlStore &Store;
+  messaging::Messaging &Messages;
+  TrafficPort &Traffic;
+  const base::Clock &Clock;
+  metrics::Registry &Metrics;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  catalog::CatalogPtr Catalog;
+  catalog::TargetTable Table;
+  catalog::TargetListPtr Published;
+  bool HasTargets = false;
+  residency::HolderLease Lease;
+  HolderSide Holding;
+  asio::steady_timer TickTimer;
+  asio::steady_timer ReportTimer;
+  asio::steady_timer LeaveTimer;
+  std::function<void()> Ready;
+  std::map<std::string, bool> Reachable;
+  base::TimePoint TickedAt;
+  base::TimePoint ReportedAt;
+  bool Urgent = false;
+  std::unique_ptr<messaging::MessageClient> Link;
+  std::string HolderEndpoint;
+  std::uint64_t ReportNumber = 0;
+  std::map<std::uint64_t, base::TimePoint> Asked;
+  std::uint64_t HeldToken = 0;
+  std::uint64_t HeldRevision = 0;
+  std::map<base::TargetId, dispatch::HeldState> Held;
+};
+
+} // namespace
+
+std::unique_ptr<Control>
+makeControl(asio::io_context &Loop, ControlSettings Settings,
+            ControlStore &Store, EngineClient &Engines,
+            messaging::Messaging &Messages, TrafficPort &Traffic,
+            const base::Clock &Clock, metrics::Registry &Metrics) {
+  return std::make_unique<WholeControl>(Loop, std::move(Settings), Store,
+                                        Engines, Messages, Traffic, Clock,
+                                        Metrics);
+}
+
+} // namespace kingcuphub::control
--- /dev/null
+++ b/src/control/internal/holderside.cpp
@@ -0,0 +1,227 @@
+#include "holderside.h"
+
+#include "base/visitor.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcuphub::control {
+
+namespace {
+
+std::int64_t millis(base::Duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
+} // namespace
+
+HolderSide::HolderSide(asio::io_context &Loop, const ControlSettings &Settings,
+                       EngineClient &Engines, residency::HolderLease &Lease,
+                       const base::Clock &Clock, metrics::Registry &Metrics)
+    : Settings(Settings), Engines(Engines), Lease(Lease), Clock(Clock),
+      Metrics(Metrics), Holder(Settings.Holder), Shares(Settings.Shares),
+      PublishTimer(Loop) {}
+
+base::Result<void> HolderSide::listen(messaging::Messaging &Messages) {
+  auto Started = Messages.serve(
+      this->Settings.LinkEndpoint,
+      [this](const messaging::ClientName &From, std::string_view Bytes) {
+        this->onReport(From, Bytes);
+      });
+  if (!Started)
+    return tl::unexpected(Started.error());
+  this->Server = std::move(*Started);
+  return {};
+}
+
+void HolderSide::setCatalog(const catalog::CatalogPtr &New) {
+  this->Holder.setCatalog(New);
+}
+
+void HolderSide::setTargets(const catalog::TargetListPtr &New) {
+  this->Holder.setTargets(New, this->Clock.now());
+}
+
+void HolderSide::checkLease() {
+  base::TimePoint Now = this->Clock.now();
+  auto Held = this->Lease.held(Now);
+  if (Held == this->Token)
+    return;
+  base::logEvent(base::LogLevel::Info, Held ? "lease-gained" : "lease-lost",
+                 {{"token", Held ? Held->Value : this->Token->Value}});
+  this->Token = Held;
+  this->Holder.setLease(Held, Now);
+  if (!Held)
+    return;
+  this->Metrics.counter("lease_gained").add();
+  this->HeldSince = Now;
+  this->Instances.clear();
+  this->Clients.clear();
+  this->Published.clear();
+  this->Shares.start(Now);
+  if (const auto &Record = this->Lease.record())
+    this->InheritedInstances = Record->Instances;
+}
+
+unsigned HolderSide::instances() const {
+  base::TimePoint Now = this->Clock.now();
+  if (!this->Token || Now < this->HeldSince + this->Settings.CountAfter)
+    return this->InheritedInstances;
+  auto Counted = static_cast<unsigned>(std::count_if(
+      this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
+        return Now < Each.second.At + this->Settings.InstanceFor;
+      }));
+  // What a former holder knew of may only be cut off from this one.
+  bool MayBeCutOff = Now < this->HeldSince + this->Settings.InstanceFor;
+  return MayBeCutOff ? std::max(Counted, this->InheritedInstances) : Counted;
+}
+
+void HolderSide::onReport(const messaging::ClientName &From,
+                          std::string_view Bytes) {
+  wire::InstanceReport Report;
+  if (!Report.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size()))) {
+    base::logEvent(base::LogLevel::Warn, "instance-report-unreadable",
+                   {{"bytes", Bytes.size()}});
+    return;
+  }
+  this->checkLease();
+  if (!this->Token)
+    return;
+  base::TimePoint Now = this->Clock.now();
+  base::InstanceId Instance{Report.instance()};
+  this->Instances[Instance] = {Now};
+  this->Clients[From] = Now;
+  this->Holder.onUse(Instance, readItems(Report), Now);
+  wire::HolderReply Reply;
+  Reply.set_token(this->Token->Value);
+  Reply.set_number(Report.number());
+  Reply.set_instances(this->instances());
+  Reply.set_held_revision(this->PublishedRevision);
+  bool Has = Report.held_token() == this->Token->Value &&
+             Report.held_revision() == this->PublishedRevision;
+  if (!Has)
+    writeHeld(this->Published, Reply);
+  writeGrants(this->Shares.onUse(Instance, readAccounts(Report), Now), Reply);
+  this->Server->send(From, Reply.SerializeAsString());
+  this->tick();
+}
+
+void HolderSide::tick() {
+  this->checkLease();
+  if (!this->Token)
+    return;
+  for (const residency::HolderCommand &Each :
+       this->Holder.tick(this->Clock.now()))
+    this->carryOut(Each);
+  this->publish();
+  this->publishLater();
+}
+
+/// Adapters come to be held some milliseconds after their order.
+void HolderSide::publishLater() {
+  base::TimePoint Now = this->Clock.now();
+  auto Next = this->Holder.engines().nextChange(Now);
+  if (!Next)
+    return;
+  this->PublishTimer.expires_after(*Next - Now);
+  this->PublishTimer.async_wait([this](asio::error_code Failed) {
+    if (Failed || !this->Token)
+      return;
+    this->publish();
+    this->publishLater();
+  });
+}
+
+/// Tells every instance at once where what engines hold has changed.
+void HolderSide::publish() {
+  base::TimePoint Now = this->Clock.now();
+  HeldTargets Held = this->Holder.engines().held(Now);
+  if (Held == this->Published)
+    return;
+  this->Published = std::move(Held);
+  ++this->PublishedRevision;
+  wire::HolderReply News;
+  News.set_token(this->Token->Value);
+  News.set_instances(this->instances());
+  News.set_held_revision(this->PublishedRevision);
+  writeHeld(this->Published, News);
+  std::string Bytes = News.SerializeAsString();
+  for (auto Each = this->Clients.begin(); Each != this->Clients.end();) {
+    if (Now > Each->second + this->Settings.HeldFor) {
+      Each = this->Clients.erase(Each);
+      continue;
+    }
+    this->Server->send(Each->first, Bytes);
+    ++Each;
+  }
+}
+
+void HolderSide::carryOut(const residency::HolderCommand &Command) {
+  std::visit(
+      base::Visitor{
+          [this](const residency::AskReport &Ask) { this->ask(Ask); },
+          [this](const residency::SendOrder &Send) { this->send(Send); }},
+      Command);
+}
+
+void HolderSide::ask(const residency::AskReport &Command) {
+  const catalog::Target *Of = this->Holder.engines().target(Command.Target);
+  if (Of == nullptr)
+    return;
+  base::TimePoint AskedAt = this->Clock.now();
+  this->Engines.report(
+      *Of, [this, Live = this->Alive, Id = Command.Target,
+            AskedAt](const std::optional<residency::EngineReport> &Report) {
+        if (!*Live)
+          return;
+        this->Holder.onReport(Id, Report, AskedAt, this->Clock.now());
+        this->tick();
+      });
+}
+
+void HolderSide::send(const residency::SendOrder &Command) {
+  const residency::Order &What = Command.What;
+  const catalog::Target *To = this->Holder.engines().target(What.Target);
+  base::TimePoint SentAt = this->Clock.now();
+  // The planning may have taken the rest of the lease.
+  if (To == nullptr || this->Lease.held(SentAt) != this->Token) {
+    this->Holder.onAnswer(What, residency::OrderAnswer::Conflict, SentAt);
+    return;
+  }
+  this->Metrics
+      .counter("orders",
+               {{"kind", std::string(residency::orderKindName(What.Kind))},
+                {"item", What.What.isAdapter() ? "adapter" : "model"}})
+      .add();
+  base::logEvent(base::LogLevel::Info, "order-sent",
+                 {{"target", What.Target.Value},
+                  {"kind", residency::orderKindName(What.Kind)},
+                  {"model", What.What.Model.Value},
+                  {"adapter", What.What.Adapter.Value},
+                  {"revision", What.ExpectedRevision},
+                  {"token", What.Token.Value},
+                  {"reason", Command.Reason}});
+  this->Engines.order(
+      *To, What, this->Settings.Self,
+      [this, Live = this->Alive, What, SentAt](residency::OrderAnswer Answer) {
+        if (!*Live)
+          return;
+        base::TimePoint Now = this->Clock.now();
+        base::logEvent(base::LogLevel::Info, "order-answered",
+                       {{"target", What.Target.Value},
+                        {"kind", residency::orderKindName(What.Kind)},
+                        {"model", What.What.Model.Value},
+                        {"adapter", What.What.Adapter.Value},
+                        {"revision", What.ExpectedRevision},
+                        {"answer", residency::orderAnswerName(Answer)},
+                        {"after_ms", millis(Now - SentAt)}});
+        if (Answer == residency::OrderAnswer::Fenced)
+          this->Lease.onFenced();
+        this->Holder.onAnswer(What, Answer, Now);
+        this->tick();
+      });
+}
+
+} // namespace kingcuphub::control
--- /dev/null
+++ b/src/control/internal/holderside.h
@@ -0,0 +1,65 @@
+#ifndef KINGCUPHUB_CONTROL_INTERNAL_HOLDERSIDE_H
+#define KINGCUPHUB_CONTROL_INTERNAL_HOLDERSIDE_H
+
+/// \file
+/// The part of the control side that acts while the lease is held: takes the
+/// instances' reports, gives orders, and tells the instances what engines hold.
+
+#include "control/control.h"
+#include "linkmessages.h"
+
+#include <asio/steady_timer.hpp>
+#include <map>
+
+namespace kingcuphub::control {
+
+class HolderSide {
+public:
+  HolderSide(asio::io_context &Loop, const ControlSettings &Settings,
+             EngineClient &Engines, residency::HolderLease &Lease,
+             const base::Clock &Clock, metrics::Registry &Metrics);
+
+  /// Opens the socket on which instances report.
+  base::Result<void> listen(messaging::Messaging &Messages);
+  void setCatalog(const catalog::CatalogPtr &New);
+  void setTargets(const catalog::TargetListPtr &New);
+  /// Follows the lease; to be called whenever it may have changed.
+  void checkLease();
+  void tick();
+  /// The instances that limits are split over; 0 while it is not known.
+  unsigned instances() const;
+
+private:
+  struct Seen {
+    base::TimePoint At;
+  };
+
+  void onReport(const messaging::ClientName &From, std::string_view Bytes);
+  void publish();
+  void publishLater();
+  void carryOut(const residency::HolderCommand &Command);
+  void ask(const residency::AskReport &Command);
+  void send(const residency::SendOrder &Command);
+
+  const ControlSettings &Settings;
+  EngineClient &Engines;
+  residency::HolderLease &Lease;
+  const base::Clock &Clock;
+  metrics::Registry &Metrics;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  residency::Holder Holder;
+  dispatch::UsageShares Shares;
+  std::unique_ptr<messaging::MessageServer> Server;
+  std::optional<residency::FencingToken> Token;
+  base::TimePoint HeldSince;
+  unsigned InheritedInstances = 0;
+  std::map<base::InstanceId, Seen> Instances;
+  std::map<messaging::ClientName, base::TimePoint> Clients;
+  HeldTargets Published;
+  std::uint64_t PublishedRevision = 0;
+  asio::steady_timer PublishTimer;
+};
+
+} // namespace kingcuphub::control
+
+#endif // KINGCUPHUB_CONTROL_INTERNAL_HOLDERSIDE_H
--- /dev/null
+++ b/src/control/internal/linkmessages.cpp
@@ -0,0 +1,88 @@
+#include "linkmessages.h"
+
+namespace kingcuphub::control {
+
+void writeUse(const forwarding::TrafficUse &Use, wire::InstanceReport &To) {
+  for (const residency::ItemUse &Each : Use.Items) {
+    wire::ItemUse &Out = *To.add_items();
+    Out.set_service(Each.Service.Value);
+    Out.set_model(Each.What.Model.Value);
+    Out.set_adapter(Each.What.Adapter.Value);
+    Out.set_work_seconds(Each.Work.count());
+    Out.set_arrived(Each.Arrived);
+    Out.set_waiting(Each.Waiting);
+  }
+  for (const dispatch::AccountUse &Each : Use.Accounts) {
+    wire::AccountUse &Out = *To.add_accounts();
+    Out.set_account(Each.Account.Value);
+    Out.set_asked(Each.Asked);
+    Out.set_granted_part(Each.GrantedPart);
+  }
+}
+
+std::vector<residency::ItemUse> readItems(const wire::InstanceReport &From) {
+  std::vector<residency::ItemUse> Out;
+  for (const wire::ItemUse &Each : From.items())
+    Out.push_back({{Each.service()},
+                   {{Each.model()}, {Each.adapter()}},
+                   std::chrono::duration<double>(Each.work_seconds()),
+                   Each.arrived(),
+                   Each.waiting()});
+  return Out;
+}
+
+std::vector<dispatch::AccountUse>
+readAccounts(const wire::InstanceReport &From) {
+  std::vector<dispatch::AccountUse> Out;
+  for (const wire::AccountUse &Each : From.accounts())
+    Out.push_back({{Each.account()}, Each.asked(), Each.granted_part()});
+  return Out;
+}
+
+void writeHeld(const HeldTargets &Held, wire::HolderReply &To) {
+  To.set_held_included(true);
+  for (const auto &[Id, State] : Held) {
+    wire::HeldTarget &Out = *To.add_held();
+    Out.set_target(Id.Value);
+    Out.set_lifetime(State.first.Value);
+    for (const auto &[Model, Each] : State.second) {
+      wire::HeldModel &One = *Out.add_models();
+      One.set_model(Model.Value);
+      for (const base::AdapterId &Adapter : Each.Adapters)
+        One.add_adapters(Adapter.Value);
+    }
+  }
+}
+
+std::map<base::TargetId, dispatch::HeldState>
+readHeld(const wire::HolderReply &From) {
+  std::map<base::TargetId, dispatch::HeldState> Out;
+  for (const wire::HeldTarget &Each : From.held()) {
+    dispatch::HeldState &State = Out[{Each.target()}];
+    State.Lifetime.Value = Each.lifetime();
+    for (const wire::HeldModel &Model : Each.models()) {
+      catalog::HeldModel &One = State.Models[{Model.model()}];
+      for (const std::string &Adapter : Model.adapters())
+        One.Adapters.insert({Adapter});
+    }
+  }
+  return Out;
+}
+
+void writeGrants(const std::vector<dispatch::AccountGrant> &Grants,
+                 wire::HolderReply &To) {
+  for (const dispatch::AccountGrant &Each : Grants) {
+    wire::AccountGrant &Out = *To.add_grants();
+    Out.set_account(Each.Account.Value);
+    Out.set_part(Each.Part);
+  }
+}
+
+std::vector<dispatch::AccountGrant> readGrants(const wire::HolderReply &From) {
+  std::vector<dispatch::AccountGrant> Out;
+  for (const wire::AccountGrant &Each : From.grants())
+    Out.push_back({{Each.account()}, Each.part()});
+  return Out;
+}
+
+} // namespace kingcuphub::control
--- /dev/null
+++ b/src/control/internal/linkmessages.h
@@ -0,0 +1,35 @@
+#ifndef KINGCUPHUB_CONTROL_INTERNAL_LINKMESSAGES_H
+#define KINGCUPHUB_CONTROL_INTERNAL_LINKMESSAGES_H
+
+/// \file
+/// The messages between instances and the holder, to and from the product's
+/// types.
+
+#include "dispatch/usageshares.h"
+#include "forwarding/forwarder.h"
+
+#include <fleet.pb.h>
+#include <map>
+#include <vector>
+
+namespace kingcuphub::control {
+
+using HeldTargets =
+    std::map<base::TargetId, std::pair<catalog::Lifetime, catalog::HeldModels>>;
+
+void writeUse(const forwarding::TrafficUse &Use, wire::InstanceReport &To);
+std::vector<residency::ItemUse> readItems(const wire::InstanceReport &From);
+std::vector<dispatch::AccountUse>
+readAccounts(const wire::InstanceReport &From);
+
+void writeHeld(const HeldTargets &Held, wire::HolderReply &To);
+std::map<base::TargetId, dispatch::HeldState>
+readHeld(const wire::HolderReply &From);
+
+void writeGrants(const std::vector<dispatch::AccountGrant> &Grants,
+                 wire::HolderReply &To);
+std::vector<dispatch::AccountGrant> readGrants(const wire::HolderReply &From);
+
+} // namespace kingcuphub::control
+
+#endif // KINGCUPHUB_CONTROL_INTERNAL_LINKMESSAGES_H
--- /dev/null
+++ b/src/control/trafficport.h
@@ -0,0 +1,32 @@
+#ifndef KINGCUPHUB_CONTROL_TRAFFICPORT_H
+#define KINGCUPHUB_CONTROL_TRAFFICPORT_H
+
+/// \file
+/// The way between the control thread and the traffic thread of an instance.
+/// What is handed over is immutable or moved.
+
+#include "dispatch/usageshares.h"
+#include "forwarding/forwarder.h"
+
+#include <functional>
+#include <map>
+
+namespace kingcuphub::control {
+
+class TrafficPort {
+public:
+  virtual ~TrafficPort() = default;
+  virtual void setCatalog(catalog::CatalogPtr New) = 0;
+  virtual void setTargets(catalog::TargetListPtr New) = 0;
+  virtual void setInstances(unsigned Count) = 0;
+  virtual void setHeld(std::map<base::TargetId, dispatch::HeldState> Held,
+                       base::TimePoint Until) = 0;
+  virtual void setGrants(std::vector<dispatch::AccountGrant> Grants,
+                         base::TimePoint ValidUntil) = 0;
+  /// Asks for what was counted; \p Done is called on the control thread.
+  virtual void takeUse(std::function<void(forwarding::TrafficUse)> Done) = 0;
+};
+
+} // namespace kingcuphub::control
+
+#endif // KINGCUPHUB_CONTROL_TRAFFICPORT_H
--- /dev/null
+++ b/src/dispatch/internal/repeatbudget.cpp
@@ -0,0 +1,38 @@
+#include "dispatch/repeatbudget.h"
+
+#include <algorithm>
+
+namespace kingcuphub::dispatch {
+
+RepeatBudget::Window &RepeatBudget::windowOf(const catalog::ServiceId &Service,
+                                             base::TimePoint Now) {
+  Window &Of = this->Windows[Service];
+  auto DropOld = [&](std::deque<base::TimePoint> &Times) {
+    while (!Times.empty() && Times.front() + this->Settings.Window <= Now)
+      Times.pop_front();
+  };
+  DropOld(Of.Requests);
+  DropOld(Of.Repeats);
+  return Of;
+}
+
+void RepeatBudget::onRequest(const catalog::ServiceId &Service,
+                             base::TimePoint Now) {
+  this->windowOf(Service, Now).Requests.push_back(Now);
+}
+
+bool RepeatBudget::take(const catalog::ServiceId &Service,
+                        base::TimePoint Now) {
+  Window &Of = this->windowOf(Service, Now);
+  double Shared =
+      this->Settings.Extra / static_cast<double>(std::max(1U, this->Instances));
+  double Allowed =
+      this->Settings.UsedPart *
+      (this->Settings.Ratio * static_cast<double>(Of.Requests.size()) + Shared);
+  if (static_cast<double>(Of.Repeats.size() + 1) > Allowed)
+    return false;
+  Of.Repeats.push_back(Now);
+  return true;
+}
+
+} // namespace kingcuphub::dispatch
--- /dev/null
+++ b/src/dispatch/internal/targetboard.cpp
@@ -0,0 +1,305 @@
+#include "dispatch/targetboard.h"
+
+#include "base/hashing.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace kingcuphub::dispatch {
+
+namespace {
+
+/// How long a target counts as full after it refused a request for that.
+constexpr std::chrono::milliseconds FullFor{100};
+/// How long a target counts as lacking what it said it lacks, unless the lease
+/// holder says otherwise.
+constexpr std::chrono::milliseconds LackingFor{1500};
+
+/// One number for a prompt's beginning, for the model and adapter that it is
+/// read by.
+std::uint64_t chainSeed(const TargetQuery &Query) {
+  return base::stableHash(Query.Model.Value + "/" + Query.Adapter.Value);
+}
+
+std::uint64_t chainStep(std::uint64_t Chain, std::uint64_t Part) {
+  return base::stableHash({reinterpret_cast<const char *>(&Part), sizeof(Part)},
+                          Chain);
+}
+
+} // namespace
+
+TargetBoard::TargetBoard(TargetBoardSettings NewSettings)
+    : Settings(std::move(NewSettings)), Cold(this->Settings.Cold),
+      Hints(this->Settings.PrefixCapacity) {}
+
+void TargetBoard::setCatalog(catalog::CatalogPtr New) {
+  this->Catalog = std::move(New);
+}
+
+void TargetBoard::setTargets(catalog::TargetListPtr New) {
+  this->Targets = std::move(New);
+  for (auto Each = this->States.begin(); Each != this->States.end();) {
+    bool Known = this->Targets->Targets.count(Each->first) != 0;
+    bool Idle = Each->second.View.inFlight() == 0;
+    if (!Known)
+      this->Hints.forget(Each->first);
+    Each = !Known && Idle ? this->States.erase(Each) : std::next(Each);
+  }
+  for (const auto &[Id, Target] : this->Targets->Targets) {
+    state::Target Seen;
+    Seen.Id = Id;
+    Seen.Zone = Target.Entry.Zone;
+    Seen.WarmSlots = base::Slots{Target.Entry.Slots};
+    auto [At, Added] = this->States.try_emplace(
+        Id, routing::TargetView(Seen, this->Settings.Limits));
+    State &Of = At->second;
+    if (!Added && Of.Lifetime != Target.Entry.Lifetime) {
+      this->Hints.forget(Id);
+      Of.FailureRate = 0;
+      Of.Held.reset();
+      Of.Lacking.clear();
+    }
+    Of.Lifetime = Target.Entry.Lifetime;
+    Of.View.configure(Seen);
+  }
+}
+
+void TargetBoard::setHeld(const base::TargetId &Id, HeldState Held,
+                          base::TimePoint Until) {
+  State *Of = this->stateOf(Id);
+  if (Of == nullptr || Held.Lifetime != Of->Lifetime)
+    return;
+  bool News = !Of->Held || Of->Held->Models != Held.Models;
+  Of->Held = std::move(Held);
+  Of->HeldUntil = Until;
+  if (News)
+    Of->Lacking.clear();
+}
+
+const catalog::Target *TargetBoard::find(const base::TargetId &Id) const {
+  if (!this->Targets)
+    return nullptr;
+  auto Found = this->Targets->Targets.find(Id);
+  return Found == this->Targets->Targets.end() ? nullptr : &Found->second;
+}
+
+TargetBoard::State *TargetBoard::stateOf(const base::TargetId &Id) {
+  auto Found = this->States.find(Id);
+  return Found == this->States.end() ? nullptr : &Found->second;
+}
+
+bool TargetBoard::mayUse(const catalog::Target &Target,
+                         base::TimePoint Now) const {
+  if (Target.Entry.Leaving ||
+      this->Targets->ZonesOut.count(Target.Entry.Zone) != 0)
+    return false;
+  return !Target.EndsAt || Now + this->Settings.LeastTimeLeft < *Target.EndsAt;
+}
+
+bool TargetBoard::maySend(const base::TargetId &Id, base::TimePoint Now) const {
+  const catalog::Target *Target = this->find(Id);
+  return Target != nullptr && this->mayUse(*Target, Now);
+}
+
+bool TargetBoard::holds(const catalog::Target &Target, const State &Of,
+                        const TargetQuery &Query, base::TimePoint Now) const {
+  if (Query.Model.empty())
+    return true;
+  bool ByHolder = Of.Held && Now < Of.HeldUntil;
+  const catalog::HeldModels &Models =
+      ByHolder ? Of.Held->Models : Target.Entry.Models;
+  auto Found = Models.find(Query.Model);
+  if (Found == Models.end())
+    return false;
+  if (!Query.Adapter.empty() &&
+      Found->second.Adapters.count(Query.Adapter) == 0)
+    return false;
+  auto Lacks = Of.Lacking.find({Query.Model, Query.Adapter});
+  return Lacks == Of.Lacking.end() || Lacks->second <= Now;
+}
+
+double TargetBoard::fullAt(const catalog::Target &Target,
+                           const State &Of) const {
+  const catalog::Service *Service =
+      this->Catalog ? this->Catalog->service(Target.Entry.Service) : nullptr;
+  bool IsEngine = Service != nullptr && Service->Engine.has_value();
+  auto Slots =
+      static_cast<double>(Of.Slots > 0 ? Of.Slots : Target.Entry.Slots);
+  return Slots *
+         (IsEngine ? this->Settings.EngineFull : this->Settings.ServiceFull);
+}
+
+bool TargetBoard::isFull(const catalog::Target &Target, const State &Of,
+                         base::TimePoint Now) const {
+  return Now < Of.FullUntil ||
+         Of.View.estimatedLoad(Now) >= this->fullAt(Target, Of);
+}
+
+double TargetBoard::coldRate(const catalog::Target &Target) const {
+  const catalog::Service *Service =
+      this->Catalog ? this->Catalog->service(Target.Entry.Service) : nullptr;
+  return Service == nullptr ? 0 : Service->ColdPerSecond;
+}
+
+double TargetBoard::missingTokens(const base::TargetId &Id,
+                                  const TargetQuery &Query) const {
+  if (Query.Prompt == nullptr)
+    return 0;
+  std::uint64_t Chain = chainSeed(Query);
+  double Missing = 0;
+  for (const PromptPart &Each : *Query.Prompt) {
+    Chain = chainStep(Chain, Each.Hash);
+    // A part counts as cached only behind cached ones.
+    if (Missing > 0 || !this->Hints.holds(Id, Chain))
+      Missing += static_cast<double>(Each.Size.Value);
+  }
+  return Missing;
+}
+
+double TargetBoard::cost(const catalog::Target &Target, const State &Of,
+                         const TargetQuery &Query, base::TimePoint Now) const {
+  double Load = Of.View.estimatedLoad(Now);
+  double Millis = Load * this->Settings.BatchedRequestMillis;
+  if (Query.Model.empty()) {
+    // A plain service runs its slots at once and queues what is beyond.
+    double Slots = std::max(1.0, static_cast<double>(Target.Entry.Slots));
+    constexpr double WorkMillis = 50;
+    Millis = Load / Slots * WorkMillis;
+  }
+  Millis += this->missingTokens(Target.Entry.Id, Query) /
+            this->Settings.PromptTokensPerMilli;
+  if (Target.Entry.Zone != this->Settings.Zone)
+    Millis += this->Settings.OtherZoneMillis;
+  return Millis + this->failureRate(Of, Now) * this->Settings.FailingMillis;
+}
+
+TargetChoice TargetBoard::choose(const TargetQuery &Query,
+                                 base::TimePoint Now) {
+  if (!this->Targets)
+    return NoTarget{};
+  bool Any = false;
+  bool Held = false;
+  const catalog::Target *Best = nullptr;
+  double BestCost = std::numeric_limits<double>::max();
+  for (const auto &[Id, Target] : this->Targets->Targets) {
+    if (Target.Entry.Service != Query.Service || !this->mayUse(Target, Now))
+      continue;
+    if (Query.Exclude != nullptr && Query.Exclude->count(Id) != 0)
+      continue;
+    State &Of = *this->stateOf(Id);
+    Any = true;
+    if (!this->holds(Target, Of, Query, Now))
+      continue;
+    Held = true;
+    if (Of.View.resting(Now) || this->isFull(Target, Of, Now))
+      continue;
+    if (Now < Target.ColdUntil &&
+        !this->Cold.allows(Target, this->coldRate(Target), Now))
+      continue;
+    double Cost = this->cost(Target, Of, Query, Now);
+    if (Cost < BestCost) {
+      Best = &Target;
+      BestCost = Cost;
+    }
+  }
+  if (Best != nullptr)
+    return SendTo{Best->Entry.Id};
+  if (Held)
+    return AllFull{};
+  if (Any)
+    return NotHeld{};
+  return NoTarget{};
+}
+
+void TargetBoard::onSent(const TargetQuery &Query, const base::TargetId &Id,
+                         base::TimePoint Now) {
+  if (State *Of = this->stateOf(Id))
+    Of->View.started(Now);
+  const catalog::Target *Target = this->find(Id);
+  if (Target != nullptr && Now < Target->ColdUntil)
+    this->Cold.onSent(*Target, this->coldRate(*Target), Now);
+  // The next request with the same beginning comes before this one is read.
+  this->onAnswering(Query, Id);
+}
+
+void TargetBoard::onStatedLoad(const base::TargetId &Id, const StatedLoad &Load,
+                               base::TimePoint Now) {
+  State *Of = this->stateOf(Id);
+  if (Of == nullptr)
+    return;
+  Of->Slots = Load.Slots;
+  routing::LoadReport Report;
+  Report.Sequence = ++Of->Reports;
+  Report.MeasuredAt = Now;
+  Report.Running = Load.Running;
+  Report.Waiting = Load.Waiting;
+  Of->View.reported(Report);
+}
+
+void TargetBoard::onAnswering(const TargetQuery &Query,
+                              const base::TargetId &Id) {
+  if (Query.Prompt == nullptr)
+    return;
+  std::uint64_t Chain = chainSeed(Query);
+  for (const PromptPart &Each : *Query.Prompt) {
+    Chain = chainStep(Chain, Each.Hash);
+    this->Hints.stored(Id, Chain);
+  }
+}
+
+double TargetBoard::failureRate(const State &Of, base::TimePoint Now) const {
+  std::chrono::duration<double> Age = Now - Of.FailureAt;
+  std::chrono::duration<double> Fades = this->Settings.FailureFades;
+  return Of.FailureRate * std::exp(-std::max(Age / Fades, 0.0));
+}
+
+void TargetBoard::onEnded(const base::TargetId &Id, AttemptEnd How,
+                          base::TimePoint Now) {
+  State *Of = this->stateOf(Id);
+  if (Of == nullptr)
+    return;
+  bool Broken = How == AttemptEnd::Broken;
+  bool Served = How == AttemptEnd::Served;
+  Of->View.ended(Broken   ? routing::RequestEnd::Failed
+                 : Served ? routing::RequestEnd::Done
+                          : routing::RequestEnd::Cancelled,
+                 Now);
+  if (How == AttemptEnd::Cancelled || How == AttemptEnd::Refused)
+    return;
+  double Rate = this->failureRate(*Of, Now);
+  Of->FailureRate =
+      Rate + this->Settings.FailureSmoothing * ((Served ? 0.0 : 1.0) - Rate);
+  Of->FailureAt = Now;
+}
+
+void TargetBoard::onNotHeld(const base::TargetId &Id,
+                            const base::ModelId &Model,
+                            const base::AdapterId &Adapter,
+                            base::TimePoint Now) {
+  if (State *Of = this->stateOf(Id))
+    Of->Lacking[{Model, Adapter}] = Now + LackingFor;
+}
+
+void TargetBoard::onFull(const base::TargetId &Id, base::TimePoint Now) {
+  if (State *Of = this->stateOf(Id))
+    Of->FullUntil = Now + FullFor;
+}
+
+double TargetBoard::freeSlots(const catalog::ServiceId &Service,
+                              base::TimePoint Now) const {
+  double Free = 0;
+  if (!this->Targets)
+    return Free;
+  for (const auto &[Id, Target] : this->Targets->Targets) {
+    if (Target.Entry.Service != Service || !this->mayUse(Target, Now))
+      continue;
+    const State &Of = this->States.at(Id);
+    Free +=
+        std::max(0.0, this->fullAt(Target, Of) - Of.View.estimatedLoad(Now));
+  }
+  return Free;
+}
+
+} // namespace kingcuphub::dispatch
--- /dev/null
+++ b/src/forwarding/forwarder.h
@@ -0,0 +1,92 @@
+#ifndef KINGCUPHUB_FORWARDING_FORWARDER_H
+#define KINGCUPHUB_FORWARDING_FORWARDER_H
+
+/// \file
+/// Brings callers' requests to targets and the answers back: the traffic side
+/// of an instance. What is known of the deployment comes in from the control
+/// side; what was asked for goes out to it. Everything happens on the thread
+/// that runs the loop.
+
+#include "base/clock.h"
+#include "dispatch/repeatbudget.h"
+#include "dispatch/targetboard.h"
+#include "dispatch/usagelimit.h"
+#include "forwarding/dialect.h"
+#include "http/forwardclient.h"
+#include "http/httpserver.h"
+#include "metrics/registry.h"
+#include "residency/types.h"
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace kingcuphub::forwarding {
+
+struct ForwarderSettings {
+  dispatch::TargetBoardSettings Board;
+  dispatch::RepeatBudgetSettings Repeats;
+  http::ForwardSettings Connections;
+  /// The part of the time left that a request may wait for a target that is
+  /// full, or for a model to be loaded, before it is refused.
+  double WaitPart = 0.45;
+  /// The same in objectives, for targets that are full: beyond it the answer
+  /// would be late anyway and others would be late with it.
+  double WaitObjectives = 3;
+  /// The least that such a request may wait.
+  std::chrono::milliseconds LeastWait{400};
+  /// The longest wait for a model or adapter to be loaded.
+  std::chrono::milliseconds LoadWait{6000};
+  /// The longest wait for a service that has no target.
+  std::chrono::milliseconds NoTargetWait{700};
+  /// An answer up to this size is held until it is whole, so that a cut one
+  /// can be fetched again; larger ones are passed on as they arrive.
+  std::size_t HoldBytes = 128U << 10U;
+  /// Bytes that a slow caller may leave unread before its target is held back.
+  std::size_t UnsentBytes = 256U << 10U;
+  /// An idempotent request, or a resumable stream, that is silent for this
+  /// many objectives (pause objectives within a stream) is sent elsewhere.
+  double SilenceObjectives = 4;
+  std::chrono::milliseconds LeastSilence{800};
+  /// What callers are told where nothing better is known.
+  std::chrono::milliseconds DefaultRetryAfter{500};
+};
+
+/// What the traffic side has counted since it was last asked.
+struct TrafficUse {
+  std::vector<residency::ItemUse> Items;
+  std::vector<dispatch::AccountUse> Accounts;
+};
+
+class Forwarder {
+public:
+  virtual ~Forwarder() = default;
+  virtual void handle(http::Request Asked, http::ResponseWriterPtr Answer) = 0;
+
+  virtual void setCatalog(catalog::CatalogPtr New) = 0;
+  virtual void setTargets(catalog::TargetListPtr New) = 0;
+  virtual void setInstances(unsigned Count) = 0;
+  virtual void
+  setHeld(const std::map<base::TargetId, dispatch::HeldState> &Held,
+          base::TimePoint Until) = 0;
+  virtual void setGrant(const base::AccountId &Account, double Part,
+                        base::TimePoint ValidUntil) = 0;
+  virtual TrafficUse takeUse() = 0;
+  /// Called when a request begins to wait for a model or adapter that no
+  /// target holds.
+  virtual void onWanted(std::function<void()> Wanted) = 0;
+  /// Requests that have no complete answer yet.
+  virtual std::size_t open() const = 0;
+};
+
+std::unique_ptr<Forwarder> makeForwarder(asio::io_context &Loop,
+                                         ForwarderSettings Settings,
+                                         const Dialect &Protocol,
+                                         const base::Clock &Clock,
+                                         metrics::Registry &Metrics);
+
+} // namespace kingcuphub::forwarding
+
+#endif // KINGCUPHUB_FORWARDING_FORWARDER_H
--- /dev/null
+++ b/src/forwarding/internal/forwarder.cpp
@@ -0,0 +1,166 @@
+#include "forwarding/forwarder.h"
+
+#include "exchange.h"
+
+#include <asio/steady_timer.hpp>
+#include <utility>
+
+namespace kingcuphub::forwarding {
+
+namespace {
+
+/// How often the line is looked at where nothing else has happened: targets
+/// stop being full or cold as time passes.
+constexpr std::chrono::milliseconds LineInterval{20};
+
+class WholeForwarder final : public Forwarder {
+public:
+  WholeForwarder(asio::io_context &Loop, ForwarderSettings Settings,
+                 const Dialect &Protocol, const base::Clock &Clock,
+                 metrics::Registry &Metrics)
+      : Context(Loop, std::move(Settings), Protocol, Clock, Metrics),
+        LineTimer(Loop) {
+    this->Context.Pump = [this] { this->pump(); };
+    this->Context.LineGrew = [this] { this->watchLine(); };
+    this->Context.Wanted = [this] {
+      if (this->Wanted)
+        this->Wanted();
+    };
+  }
+
+  void handle(http::Request Asked, http::ResponseWriterPtr Answer) override {
+    auto New = std::make_shared<Exchange>(this->Context, std::move(Asked),
+                                          std::move(Answer));
+    New->start();
+  }
+
+  void setCatalog(catalog::CatalogPtr New) override {
+    this->Context.Catalog = New;
+    this->Context.Board.setCatalog(std::move(New));
+    // Ends some of them, which takes them out of the line.
+    auto Waiting = this->Context.Waiting;
+    for (const auto &[Number, Each] : Waiting)
+      Each->reconsider();
+    this->pump();
+  }
+
+  void setTargets(catalog::TargetListPtr New) override {
+    this->Context.Targets = New;
+    this->Context.TargetsAt = this->Context.Clock.now();
+    this->Context.Board.setTargets(std::move(New));
+    this->pump();
+  }
+
+  void setInstances(unsigned Count) override {
+    this->Context.Board.setInstances(Count);
+    this->Context.Repeats.setInstances(Count);
+    this->Context.Usage.setInstances(Count);
+  }
+
+  void setHeld(const std::map<base::TargetId, dispatch::HeldState> &Held,
+               base::TimePoint Until) override {
+    for (const auto &[Id, Each] : Held)
+      this->Context.Board.setHeld(Id, Each, Until);
+    this->pump();
+  }
+
+  void setGrant(const base::AccountId &Account, double Part,
+                base::TimePoint ValidUntil) override {
+    this->Context.Usage.setGrant(Account, Part, ValidUntil);
+  }
+
+  TrafficUse takeUse() override {
+    for (const auto &[Number, Each] : this->Context.Waiting)
+      if (auto Lacking = Each->lacking())
+        ++this->Context.Use[*Lacking].Waiting;
+    TrafficUse Out;
+    for (auto &[Key, Use] : std::exchange(this->Context.Use, {})) {
+      Use.Service = Key.first;
+      Use.What = Key.second;
+      Out.Items.push_back(Use);
+    }
+    Out.Accounts = this->Context.Usage.takeUse(this->Context.Clock.now());
+    return Out;
+  }
+
+  void onWanted(std::function<void()> NewWanted) override {
+    this->Wanted = std::move(NewWanted);
+  }
+
+  std::size_t open() const override { return this->Context.Open; }
+
+private:
+  void pump() {
+    if (std::exchange(this->Pumping, true)) {
+      this->PumpAgain = true;
+      return;
+    }
+    do {
+      this->PumpAgain = false;
+      this->pumpOnce();
+    } while (this->PumpAgain);
+    this->Pumping = false;
+  }
+
+  void pumpOnce() {
+    auto CanRun = [this](const admission::QueueEntry &Each) {
+      auto Found = this->Context.Waiting.find(Each.Request);
+      // One that ended meanwhile is taken out of the line.
+      return Found == this->Context.Waiting.end() || Found->second->canBeSent();
+    };
+    while (auto Next = this->Context.Queue.pop(CanRun)) {
+      auto Found = this->Context.Waiting.find(Next->Request);
+      if (Found == this->Context.Waiting.end())
+        continue;
+      std::shared_ptr<Exchange> Each = std::move(Found->second);
+      this->Context.Waiting.erase(Found);
+      Each->sendNow();
+    }
+  }
+
+  void watchLine() {
+    if (this->Context.Waiting.empty() || std::exchange(this->Watching, true))
+      return;
+    this->LineTimer.expires_after(LineInterval);
+    this->LineTimer.async_wait([this](asio::error_code Failed) {
+      if (Failed)
+        return;
+      this->Watching = false;
+      this->expireLine();
+      this->pump();
+      this->watchLine();
+    });
+  }
+
+  void expireLine() {
+    for (const admission::QueueEntry &Each :
+         this->Context.Queue.expire(this->Context.Clock.now())) {
+      auto Found = this->Context.Waiting.find(Each.Request);
+      if (Found == this->Context.Waiting.end())
+        continue;
+      std::shared_ptr<Exchange> Late = std::move(Found->second);
+      this->Context.Waiting.erase(Found);
+      Late->waitedTooLong();
+    }
+  }
+
+  TrafficContext Context;
+  asio::steady_timer LineTimer;
+  std::function<void()> Wanted;
+  bool Pumping = false;
+  bool PumpAgain = false;
+  bool Watching = false;
+};
+
+} // namespace
+
+std::unique_ptr<Forwarder> makeForwarder(asio::io_context &Loop,
+                                         ForwarderSettings Settings,
+                                         const Dialect &Protocol,
+                                         const base::Clock &Clock,
+                                         metrics::Registry &Metrics) {
+  return std::make_unique<WholeForwarder>(Loop, std::move(Settings), Protocol,
+                                          Clock, Metrics);
+}
+
+} // namespace kingcuphub::forwarding
--- /dev/null
+++ b/src/forwarding/internal/trafficcontext.h
@@ -0,0 +1,63 @@
+#ifndef KINGCUPHUB_FORWARDING_INTERNAL_TRAFFICCONTEXT_H
+#define KINGCUPHUB_FORWARDING_INTERNAL_TRAFFICCONTEXT_H
+
+/// \file
+/// What the exchanges of one instance share, and the line of requests that
+/// wait for a target.
+
+#include "admission/fairqueue.h"
+#include "dispatch/flowrate.h"
+#include "forwarding/forwarder.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace kingcuphub::forwarding {
+
+class Exchange;
+
+struct TrafficContext {
+  TrafficContext(asio::io_context &Loop, ForwarderSettings NewSettings,
+                 const Dialect &Protocol, const base::Clock &Clock,
+                 metrics::Registry &Metrics)
+      : Loop(Loop), Settings(std::move(NewSettings)), Protocol(Protocol),
+        Clock(Clock), Metrics(Metrics), Board(this->Settings.Board),
+        Repeats(this->Settings.Repeats),
+        Client(http::makeForwardClient(Loop, this->Settings.Connections)),
+        Random(std::random_device{}()) {}
+
+  asio::io_context &Loop;
+  ForwarderSettings Settings;
+  const Dialect &Protocol;
+  const base::Clock &Clock;
+  metrics::Registry &Metrics;
+  dispatch::TargetBoard Board;
+  dispatch::RepeatBudget Repeats;
+  dispatch::UsageLimit Usage;
+  std::unique_ptr<http::ForwardClient> Client;
+  std::mt19937_64 Random;
+  catalog::CatalogPtr Catalog;
+  catalog::TargetListPtr Targets;
+  base::TimePoint TargetsAt;
+
+  admission::FairQueue Queue;
+  std::map<base::RequestId, std::shared_ptr<Exchange>> Waiting;
+  /// How fast requests end at each service.
+  std::map<catalog::ServiceId, dispatch::FlowRate> EndRates;
+  std::map<std::pair<catalog::ServiceId, residency::Item>, residency::ItemUse>
+      Use;
+  std::uint64_t NextNumber = 1;
+  std::size_t Open = 0;
+
+  /// Set by the forwarder.
+  std::function<void()> Pump;
+  std::function<void()> LineGrew;
+  std::function<void()> Wanted;
+};
+
+} // namespace kingcuphub::forwarding
+
+#endif // KINGCUPHUB_FORWARDING_INTERNAL_TRAFFICCONTEXT_H
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -64,11 +64,11 @@
   http::ServerSettings Listen;
   Listen.Address = this->Context.Options.ListenAddress;
   Listen.Port = this->Context.Options.ListenPort;
-  // Above the limit that is answered with 413, a connection is just closed.
-  Listen.MaxBodyBytes = Bounds.BodyBytes * 4;
-  Listen.MaxHeaderBytes = Bounds.HeaderBytes;
-  Listen.ReadTimeout = Bounds.ReadTimeout;
-  Listen.WriteTimeout = Bounds.WriteTimeout;
+  // Above the limit that the handler answers, the connection ends as well.
+  Listen.Limits.MaxBodyBytes = Bounds.BodyBytes * 4;
+  Listen.Limits.MaxHeaderBytes = Bounds.HeaderBytes;
+  Listen.Limits.ReadTimeout = Bounds.ReadTimeout;
+  Listen.Limits.WriteTimeout = Bounds.WriteTimeout;
   auto Started = http::startHttpServer(
       this->Loop, Listen,
       [this](http::Request Asked, const http::ResponseWriterPtr &Answer) {
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -28,6 +28,8 @@
   std::string Query;
   std::vector<Header> Headers;
   std::string Body;
+  /// Path and query byte for byte as the caller sent them.
+  std::string Target;
 
   std::string_view header(std::string_view Name) const {
     return findHeader(this->Headers, Name);
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -3,7 +3,8 @@
 
 /// \file
 /// An HTTP/1.1 server on the caller's Asio loop. All calls and callbacks
-/// happen on the thread that runs the loop.
+/// happen on the thread that runs the loop. A request is handed over whole;
+/// one whose length is in doubt is answered 400 and ends its connection.
 
 #include "base/error.h"
 #include "http/httpmessage.h"
@@ -13,28 +14,33 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace kingcuphub::http {
 
-enum class HttpErrc { CannotListen = 1, BadUrl };
+enum class HttpErrc { CannotListen = 1 };
 std::error_code make_error_code(HttpErrc Kind);
 
-/// Where and within what limits a server listens.
-struct ServerSettings {
-  std::string Address = "127.0.0.1";
-  /// 0 takes a free port from the kernel.
-  std::uint16_t Port = 0;
-  /// A connection whose message exceeds a limit is closed unanswered; a
-  /// handler that wants to answer 413 sets its own lower limit on the body.
+/// What one caller may send, and how long it may take. A message over a limit
+/// is answered with 413 or 431 and ends its connection.
+struct CallerLimits {
   std::size_t MaxBodyBytes = 16U << 20U;
   std::size_t MaxHeaderBytes = 16U << 10U;
-  std::size_t MaxHeaderCount = 100;
   /// The longest time that a caller may take to send one whole request.
   std::chrono::milliseconds ReadTimeout{10000};
+  /// How long a connection is kept without a request.
+  std::chrono::milliseconds IdleTimeout{30000};
+  /// A caller that takes no byte of its answer for this long is dropped.
   std::chrono::milliseconds WriteTimeout{10000};
-  /// The longest time that a handler may take to complete an answer.
-  std::chrono::milliseconds HandleTimeout{std::chrono::hours(1)};
+};
+
+/// Where a server listens.
+struct ServerSettings {
+  std::string Address = "127.0.0.1";
+  /// 0 takes a free port from the kernel.
+  std::uint16_t Port = 0;
+  CallerLimits Limits{};
 };
 
 /// The answer to one request: either respond() once, or beginStream(),
@@ -44,8 +50,13 @@
 public:
   virtual ~ResponseWriter() = default;
   virtual void respond(const Response &Whole) = 0;
-  /// Starts a chunked answer and sends its head.
-  virtual void beginStream(int Status, const std::vector<Header> &Headers) = 0;
+  /// Starts an answer that is written in pieces and sends its head; chunked
+  /// where its \p Length is not known.
+  virtual void beginStream(int Status, const std::vector<Header> &Headers,
+                           std::optional<std::uint64_t> Length) = 0;
+  void beginStream(int Status, const std::vector<Header> &Headers) {
+    this->beginStream(Status, Headers, std::nullopt);
+  }
   virtual void write(std::string Chunk) = 0;
   virtual void finish() = 0;
   /// Closes the connection so that the caller sees a cut answer.
@@ -56,6 +67,8 @@
   virtual std::size_t unsentBytes() const = 0;
   /// \p Gone is called once if the caller goes before the answer is complete.
   virtual void onClosed(std::function<void()> Gone) = 0;
+  /// \p Sent is called each time that all bytes handed to write() have left.
+  virtual void onSent(std::function<void()> Sent) = 0;
 };
 
 using ResponseWriterPtr = std::shared_ptr<ResponseWriter>;
@@ -66,7 +79,11 @@
   virtual ~HttpServer() = default;
   /// The port it listens on, also where the kernel chose it.
   virtual std::uint16_t port() const = 0;
-  /// Stops accepting; open connections live on.
+  /// Applies to messages that begin from now on.
+  virtual void setLimits(const CallerLimits &Limits) = 0;
+  /// From now on each answer ends its connection; new ones are accepted.
+  virtual void endKeptConnections() = 0;
+  /// Stops accepting; open connections live on until their next answer.
   virtual void stopAccepting() = 0;
   /// Closes the listener and every open connection.
   virtual void close() = 0;
--- /dev/null
+++ b/src/http/internal/serverconnection.cpp
@@ -0,0 +1,371 @@
+#include "serverconnection.h"
+
+#include <asio/post.hpp>
+#include <cstdio>
+#include <utility>
+
+namespace kingcuphub::http {
+
+namespace {
+
+using SteadyClock = std::chrono::steady_clock;
+
+/// Bytes of a next request that are read ahead while one is answered.
+constexpr std::size_t MaxBacklog = 65536;
+/// How long a caller may take to close after the last answer.
+constexpr std::chrono::milliseconds LingerTime{1000};
+/// How often a connection's time limits are looked at.
+constexpr std::chrono::milliseconds WatchEvery{500};
+
+std::string headOf(int Status, const std::vector<Header> &Headers,
+                   bool KeepAlive) {
+  std::string Out = "HTTP/1.1 " + std::to_string(Status) + " ";
+  Out += reasonOf(Status);
+  Out += "\r\n";
+  for (const Header &Each : Headers)
+    Out.append(Each.Name).append(": ").append(Each.Value).append("\r\n");
+  if (!KeepAlive)
+    Out += "Connection: close\r\n";
+  return Out;
+}
+
+bool hasNoBody(int Status) { return Status == 204 || Status == 304; }
+
+} // namespace
+
+/// The answer to the request that the connection has handed over.
+class ServerConnection::Answer final : public ResponseWriter {
+public:
+  Answer(std::shared_ptr<ServerConnection> Connection, bool HeadOnly)
+      : Connection(std::move(Connection)), HeadOnly(HeadOnly) {}
+  Answer(const Answer &) = delete;
+  Answer &operator=(const Answer &) = delete;
+  ~Answer() override {
+    if (!this->Done)
+      this->Connection->close();
+  }
+
+  void respond(const Response &Whole) override {
+    if (this->Done || this->Begun)
+      return;
+    std::string Bytes = headOf(Whole.Status, Whole.Headers, this->keepAlive());
+    if (!hasNoBody(Whole.Status))
+      Bytes += "Content-Length: " + std::to_string(Whole.Body.size()) + "\r\n";
+    Bytes += "\r\n";
+    if (!this->HeadOnly && !hasNoBody(Whole.Status))
+      Bytes += Whole.Body;
+    this->Connection->send(std::move(Bytes));
+    this->end();
+  }
+
+  void beginStream(int Status, const std::vector<Header> &Headers,
+                   std::optional<std::uint64_t> Length) override {
+    if (this->Done || this->Begun)
+      return;
+    this->Begun = true;
+    this->Chunked = !Length && !hasNoBody(Status);
+    std::string Bytes = headOf(Status, Headers, this->keepAlive());
+    if (this->Chunked)
+      Bytes += "Transfer-Encoding: chunked\r\n";
+    else if (Length)
+      Bytes += "Content-Length: " + std::to_string(*Length) + "\r\n";
+    Bytes += "\r\n";
+    this->Connection->send(std::move(Bytes));
+  }
+
+  void write(std::string Chunk) override {
+    if (this->Done || !this->Begun || Chunk.empty() || this->HeadOnly)
+      return;
+    if (!this->Chunked) {
+      this->Connection->send(std::move(Chunk));
+      return;
+    }
+    std::array<char, 20> Size{};
+    int Digits =
+        std::snprintf(Size.data(), Size.size(), "%zx\r\n", Chunk.size());
+    std::string Bytes;
+    Bytes.reserve(Chunk.size() + static_cast<std::size_t>(Digits) + 2);
+    Bytes.append(Size.data(), static_cast<std::size_t>(Digits));
+    Bytes.append(Chunk).append("\r\n");
+    this->Connection->send(std::move(Bytes));
+  }
+
+  void finish() override {
+    if (this->Done || !this->Begun)
+      return;
+    if (this->Chunked && !this->HeadOnly)
+      this->Connection->send("0\r\n\r\n");
+    this->end();
+  }
+
+  void abort() override {
+    if (this->Done)
+      return;
+    this->Done = true;
+    this->Gone = nullptr;
+    this->Connection->close();
+  }
+
+  bool isOpen() const override { return this->Connection->At != Phase::Closed; }
+
+  std::size_t unsentBytes() const override {
+    return this->Connection->Writer.unsent();
+  }
+
+  void onClosed(std::function<void()> NewGone) override {
+    this->Gone = std::move(NewGone);
+  }
+
+  void onSent(std::function<void()> NewSent) override {
+    this->Sent = std::move(NewSent);
+  }
+
+  void connectionClosed() {
+    if (std::exchange(this->Done, true))
+      return;
+    this->Sent = nullptr;
+    if (auto Callback = std::exchange(this->Gone, nullptr))
+      Callback();
+  }
+
+  void allSent() {
+    if (this->Sent)
+      this->Sent();
+  }
+
+private:
+  bool keepAlive() {
+    if (this->Connection->Shared->Draining)
+      this->Connection->KeepAlive = false;
+    return this->Connection->KeepAlive;
+  }
+
+  void end() {
+    this->Done = true;
+    this->Gone = nullptr;
+    this->Sent = nullptr;
+    this->Connection->answerDone();
+  }
+
+  std::shared_ptr<ServerConnection> Connection;
+  std::function<void()> Gone;
+  std::function<void()> Sent;
+  bool HeadOnly;
+  bool Begun = false;
+  bool Chunked = false;
+  bool Done = false;
+};
+
+ServerConnection::ServerConnection(asio::ip::tcp::socket NewSocket,
+                                   std::shared_ptr<ServerState> NewShared)
+    : Socket(std::move(NewSocket)), Shared(std::move(NewShared)),
+      Parser(MessageKind::Request, this->Shared->Limits.MaxHeaderBytes,
+             {[this](MessageHead Head) { this->onHead(std::move(Head)); },
+              [this](std::string_view Piece) { this->onBody(Piece); }}),
+      Writer(this->Socket), Timer(this->Socket.get_executor()),
+      Since(SteadyClock::now()) {}
+
+void ServerConnection::start() {
+  asio::error_code Ignored;
+  // Without the option answers are only slower.
+  this->Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  this->Writer.start(this->weak_from_this(), {[this] { this->onAllSent(); },
+                                              [this] { this->close(); }});
+  this->read();
+  this->watch();
+}
+
+void ServerConnection::close() {
+  if (this->At == Phase::Closed)
+    return;
+  this->At = Phase::Closed;
+  auto Alive = this->shared_from_this();
+  this->Writer.flushNow();
+  asio::error_code Ignored;
+  // The peer sees the end either way.
+  this->Socket.close(Ignored);
+  this->Timer.cancel();
+  this->Shared->Connections.erase(Alive);
+  if (auto Answering = this->Current.lock())
+    Answering->connectionClosed();
+}
+
+void ServerConnection::read() {
+  if (this->ReadPending || this->At == Phase::Closed ||
+      this->Backlog.size() > MaxBacklog)
+    return;
+  this->ReadPending = true;
+  this->Socket.async_read_some(asio::buffer(this->Buffer),
+                               [this, Alive = this->shared_from_this()](
+                                   asio::error_code Failed, std::size_t Size) {
+                                 this->ReadPending = false;
+                                 this->onRead(Failed, Size);
+                               });
+}
+
+void ServerConnection::onRead(asio::error_code Failed, std::size_t Size) {
+  if (this->At == Phase::Closed)
+    return;
+  if (Failed) {
+    this->close();
+    return;
+  }
+  if (this->At != Phase::Lingering)
+    this->Backlog.append(this->Buffer.data(), Size);
+  if (this->At == Phase::Reading)
+    this->parse();
+  this->read();
+}
+
+void ServerConnection::parse() {
+  auto Alive = this->shared_from_this();
+  if (this->Backlog.empty())
+    return;
+  if (!this->Parser.inMessage())
+    this->Since = SteadyClock::now();
+  std::string Bytes = std::exchange(this->Backlog, {});
+  MessageParser::Progress Done = this->Parser.feed(Bytes);
+  if (this->At != Phase::Reading)
+    return;
+  this->Backlog = Bytes.substr(Done.Consumed);
+  if (Done.Failed) {
+    constexpr int HeadTooLarge = 431;
+    constexpr int BadRequest = 400;
+    this->reject(Done.Failed == ParseErrc::HeadTooLarge ? HeadTooLarge
+                                                        : BadRequest);
+    return;
+  }
+  if (Done.Complete)
+    this->dispatch();
+}
+
+void ServerConnection::onHead(MessageHead Head) {
+  this->KeepAlive = Head.KeepAlive;
+  this->Incoming = {};
+  this->Incoming.Method = std::move(Head.Method);
+  std::size_t Question = Head.Target.find('?');
+  this->Incoming.Path = Head.Target.substr(0, Question);
+  if (Question != std::string::npos)
+    this->Incoming.Query = Head.Target.substr(Question + 1);
+  this->Incoming.Target = std::move(Head.Target);
+  this->Incoming.Headers = std::move(Head.Headers);
+  if (Head.Length && *Head.Length > this->Shared->Limits.MaxBodyBytes) {
+    constexpr int BodyTooLarge = 413;
+    this->reject(BodyTooLarge);
+    return;
+  }
+  if (this->Incoming.header("Expect") == "100-continue")
+    this->send("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void ServerConnection::onBody(std::string_view Piece) {
+  if (this->At != Phase::Reading)
+    return;
+  if (this->Incoming.Body.size() + Piece.size() >
+      this->Shared->Limits.MaxBodyBytes) {
+    constexpr int BodyTooLarge = 413;
+    this->reject(BodyTooLarge);
+    return;
+  }
+  this->Incoming.Body.append(Piece);
+}
+
+void ServerConnection::dispatch() {
+  this->At = Phase::Answering;
+  this->Since = SteadyClock::now();
+  auto New = std::make_shared<Answer>(this->shared_from_this(),
+                                      this->Incoming.Method == "HEAD");
+  this->Current = New;
+  this->Shared->Handler(std::move(this->Incoming), std::move(New));
+}
+
+void ServerConnection::reject(int Status) {
+  this->KeepAlive = false;
+  this->send(headOf(Status, {}, false) + "Content-Length: 0\r\n\r\n");
+  this->linger();
+}
+
+void ServerConnection::send(std::string Bytes) {
+  if (this->At != Phase::Closed)
+    this->Writer.send(std::move(Bytes));
+}
+
+void ServerConnection::endSending() {
+  asio::error_code Ignored;
+  // A peer that has gone already needs no end of stream.
+  this->Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+}
+
+void ServerConnection::onAllSent() {
+  if (this->At == Phase::Lingering) {
+    this->endSending();
+    return;
+  }
+  if (auto Answering = this->Current.lock())
+    Answering->allSent();
+}
+
+void ServerConnection::answerDone() {
+  this->Current.reset();
+  if (this->At != Phase::Answering)
+    return;
+  if (!this->KeepAlive) {
+    this->linger();
+    return;
+  }
+  this->At = Phase::Reading;
+  this->Since = SteadyClock::now();
+  this->Parser.setMaxHeadBytes(this->Shared->Limits.MaxHeaderBytes);
+  this->Parser.reset();
+  if (!this->Backlog.empty())
+    asio::post(this->Socket.get_executor(),
+               [this, Alive = this->shared_from_this()] {
+                 if (this->At == Phase::Reading)
+                   this->parse();
+               });
+  this->read();
+}
+
+void ServerConnection::linger() {
+  this->At = Phase::Lingering;
+  this->Since = SteadyClock::now();
+  this->Backlog.clear();
+  if (this->Writer.unsent() == 0)
+    this->endSending();
+  this->read();
+}
+
+bool ServerConnection::overdue() const {
+  auto Now = SteadyClock::now();
+  const CallerLimits &Limits = this->Shared->Limits;
+  if (this->Writer.unsent() > 0 &&
+      Now - this->Writer.progressAt() > Limits.WriteTimeout)
+    return true;
+  if (this->At == Phase::Lingering)
+    return this->Writer.unsent() == 0 && Now - this->Since > LingerTime;
+  if (this->At == Phase::Reading && !this->Parser.inMessage())
+    return Now - this->Since > Limits.IdleTimeout;
+  return false;
+}
+
+void ServerConnection::watch() {
+  this->Timer.expires_after(WatchEvery);
+  this->Timer.async_wait([this, Weak = this->weak_from_this()](
+                             asio::error_code Failed) {
+    auto Alive = Weak.lock();
+    if (!Alive || Failed || this->At == Phase::Closed)
+      return;
+    if (this->overdue()) {
+      this->close();
+      return;
+    }
+    if (this->At == Phase::Reading && this->Parser.inMessage() &&
+        SteadyClock::now() - this->Since > this->Shared->Limits.ReadTimeout) {
+      constexpr int RequestTimeout = 408;
+      this->reject(RequestTimeout);
+    }
+    this->watch();
+  });
+}
+
+} // namespace kingcuphub::http
--- /dev/null
+++ b/src/http/internal/serverconnection.h
@@ -0,0 +1,95 @@
+#ifndef KINGCUPHUB_HTTP_INTERNAL_SERVERCONNECTION_H
+#define KINGCUPHUB_HTTP_INTERNAL_SERVERCONNECTION_H
+
+/// \file
+/// One caller's connection: requests are read one after another, and the next
+/// is handed over once the answer to the last is complete. A read is always
+/// pending, so that the caller's departure is noticed at once.
+
+#include "http/httpserver.h"
+#include "http/messageparser.h"
+#include "streamwriter.h"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace kingcuphub::http {
+
+class ServerConnection;
+
+/// What the connections of one server share.
+struct ServerState {
+  CallerLimits Limits;
+  RequestHandler Handler;
+  /// Answers end their connections.
+  bool Draining = false;
+  std::set<std::shared_ptr<ServerConnection>> Connections;
+};
+
+class ServerConnection final
+    : public std::enable_shared_from_this<ServerConnection> {
+public:
+  class Answer;
+
+  ServerConnection(asio::ip::tcp::socket Socket,
+                   std::shared_ptr<ServerState> Shared);
+  ServerConnection(const ServerConnection &) = delete;
+  ServerConnection &operator=(const ServerConnection &) = delete;
+
+  void start();
+  /// Closes at once; an answer that is not complete is cut.
+  void close();
+
+private:
+  enum class Phase {
+    /// Between requests, or inside one that is being read.
+    Reading,
+    /// A request is with the handler.
+    Answering,
+    /// The last answer has been written; waits for the caller to close.
+    Lingering,
+    Closed,
+  };
+
+  void read();
+  void onRead(asio::error_code Failed, std::size_t Size);
+  void parse();
+  void onHead(MessageHead Head);
+  void onBody(std::string_view Piece);
+  void dispatch();
+  void reject(int Status);
+  void watch();
+  bool overdue() const;
+
+  // Called by the answer.
+  void send(std::string Bytes);
+  void endSending();
+  void onAllSent();
+  void answerDone();
+  void linger();
+
+  asio::ip::tcp::socket Socket;
+  std::shared_ptr<ServerState> Shared;
+  MessageParser Parser;
+  StreamWriter Writer;
+  asio::steady_timer Timer;
+  std::array<char, 16384> Buffer{};
+  /// Bytes that were read and not parsed yet.
+  std::string Backlog;
+  Request Incoming;
+  bool KeepAlive = true;
+  bool BodyTooLarge = false;
+  bool ReadPending = false;
+  Phase At = Phase::Reading;
+  /// When the phase, or the message that is being read, began.
+  std::chrono::steady_clock::time_point Since;
+  std::weak_ptr<Answer> Current;
+};
+
+} // namespace kingcuphub::http
+
+#endif // KINGCUPHUB_HTTP_INTERNAL_SERVERCONNECTION_H
--- /dev/null
+++ b/src/http/internal/streamwriter.h
@@ -0,0 +1,57 @@
+#ifndef KINGCUPHUB_HTTP_INTERNAL_STREAMWRITER_H
+#define KINGCUPHUB_HTTP_INTERNAL_STREAMWRITER_H
+
+/// \file
+/// Writes to a socket in order. What is handed over in one turn of the loop
+/// leaves in one system call.
+
+#include <asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace kingcuphub::http {
+
+class StreamWriter {
+public:
+  struct Handlers {
+    std::function<void()> OnAllSent;
+    std::function<void()> OnFailed;
+  };
+
+  explicit StreamWriter(asio::ip::tcp::socket &Socket);
+
+  /// Called once, before the first send(). \p Owner keeps the socket and the
+  /// writer alive during an operation; it holds this writer.
+  void start(std::weak_ptr<void> NewOwner, Handlers NewTake);
+  void send(std::string Bytes);
+  /// Hands the socket what it takes at once, before the socket is closed.
+  void flushNow();
+  /// Bytes that the socket has not taken yet.
+  std::size_t unsent() const {
+    return this->Queued.size() + this->Leaving.size();
+  }
+  /// When the socket last took bytes, or was first asked to.
+  std::chrono::steady_clock::time_point progressAt() const {
+    return this->ProgressAt;
+  }
+
+private:
+  void flush(std::shared_ptr<void> Alive);
+  void writeSome(std::shared_ptr<void> Alive);
+
+  asio::ip::tcp::socket &Socket;
+  std::weak_ptr<void> Owner;
+  Handlers Take;
+  std::string Queued;
+  std::string Leaving;
+  std::size_t Taken = 0;
+  bool Scheduled = false;
+  std::chrono::steady_clock::time_point ProgressAt;
+};
+
+} // namespace kingcuphub::http
+
+#endif // KINGCUPHUB_HTTP_INTERNAL_STREAMWRITER_H
--- /dev/null
+++ b/src/http/messageparser.h
@@ -0,0 +1,103 @@
+#ifndef KINGCUPHUB_HTTP_MESSAGEPARSER_H
+#define KINGCUPHUB_HTTP_MESSAGEPARSER_H
+
+/// \file
+/// Incremental parsing of HTTP/1.1 messages (Node's http-parser) for
+/// connections that pass bytes on as they arrive. No I/O.
+
+#include "http/httpmessage.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+namespace kingcuphub::http {
+
+enum class ParseErrc {
+  /// Not HTTP/1.1, or a field that cannot be read.
+  Malformed = 1,
+  /// More than one way to tell where the body ends.
+  AmbiguousLength,
+  HeadTooLarge,
+  /// The connection ended inside the message.
+  Truncated,
+};
+std::error_code make_error_code(ParseErrc Kind);
+
+/// Everything before a message's body.
+struct MessageHead {
+  /// Of a request.
+  std::string Method;
+  /// Of a request: path and query as they were sent.
+  std::string Target;
+  /// Of a response.
+  int Status = 0;
+  std::vector<Header> Headers;
+  /// Whether the connection may carry another message.
+  bool KeepAlive = true;
+  /// Absent for a chunked body and for one that ends with the connection.
+  std::optional<std::uint64_t> Length;
+  bool Chunked = false;
+
+  std::string_view header(std::string_view Name) const {
+    return findHeader(this->Headers, Name);
+  }
+};
+
+enum class MessageKind { Request, Response };
+
+/// Parses one message after another in one direction of a connection.
+class MessageParser {
+public:
+  struct Handlers {
+    std::function<void(MessageHead)> OnHead;
+    std::function<void(std::string_view)> OnBody;
+  };
+  /// How far one call has come.
+  struct Progress {
+    /// Bytes that belong to the message; the rest is for the next one.
+    std::size_t Consumed = 0;
+    bool Complete = false;
+    std::error_code Failed;
+  };
+
+  MessageParser(MessageKind Kind, std::size_t MaxHeadBytes, Handlers Take);
+  ~MessageParser();
+  MessageParser(const MessageParser &) = delete;
+  MessageParser &operator=(const MessageParser &) = delete;
+
+  Progress feed(std::string_view Bytes);
+  /// The connection has ended: completes a response without a length, and is
+  /// Truncated inside any other message.
+  Progress finish();
+  /// Makes ready for the next message. \p BodyExpected is false for the
+  /// response to a HEAD request.
+  void reset(bool BodyExpected = true);
+  /// True between the first byte of a message and its end.
+  bool inMessage() const;
+  void setMaxHeadBytes(std::size_t Bytes);
+
+private:
+  class State;
+  std::unique_ptr<State> Current;
+};
+
+/// Whether a header concerns one connection only and is not passed on;
+/// \p Connection is the message's Connection header, which may name more.
+bool isHopByHop(std::string_view Name, std::string_view Connection);
+
+/// The status line's reason for a code; empty if unknown.
+std::string_view reasonOf(int Status);
+
+} // namespace kingcuphub::http
+
+template <>
+struct std::is_error_code_enum<kingcuphub::http::ParseErrc> : std::true_type {};
+
+#endif // KINGCUPHUB_HTTP_MESSAGEPARSER_H
--- /dev/null
+++ b/src/instance/internal/instance.cpp
@@ -0,0 +1,180 @@
+#include "instance/instance.h"
+
+#include "base/log.h"
+#include "trafficthread.h"
+
+#include <asio/steady_timer.hpp>
+#include <utility>
+
+namespace kingcuphub::instance {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds StopCheckInterval{50};
+/// The time without an open request after which a stopping instance ends.
+constexpr milliseconds QuietBeforeEnd{300};
+
+class WholeInstance final : public Instance {
+public:
+  WholeInstance(asio::io_context &Loop, const Settings &Options,
+                Adapter NewSpeaks, const base::Clock &Clock)
+      : Loop(Loop), Options(Options), Speaks(std::move(NewSpeaks)),
+        Clock(Clock), Http(http::makeHttpClient(Loop)),
+        Store(this->Speaks.MakeStore(Loop, *this->Http, this->Options.Store)),
+        Engines(this->Speaks.MakeEngines(*this->Http)),
+        Traffic(Loop, this->Options, *this->Speaks.Protocol, Clock,
+                this->Metrics, [this] { this->Control->onWanted(); }),
+        Timer(Loop) {}
+
+  base::Result<void> start() {
+    auto Links = messaging::makeMessaging(this->Loop, std::nullopt);
+    if (!Links)
+      return tl::unexpected(Links.error());
+    this->Messages = std::move(*Links);
+    this->Control = control::makeControl(
+        this->Loop, this->controlSettings(), *this->Store, *this->Engines,
+        *this->Messages, this->Traffic, this->Clock, this->Metrics);
+    this->Control->onReady([this] {
+      this->Ready = true;
+      base::logEvent(base::LogLevel::Info, "ready", {});
+    });
+    for (const auto &Started :
+         {this->Traffic.start(), this->startReadiness(), this->startMetrics()})
+      if (!Started)
+        return Started;
+    this->Control->start();
+    return {};
+  }
+
+  void reload(const Settings &New) override {
+    bool Same = New.Name == this->Options.Name &&
+                New.Callers.text() == this->Options.Callers.text() &&
+                New.Store.text() == this->Options.Store.text();
+    this->Options.Stop = New.Stop;
+    base::logEvent(base::LogLevel::Info, "reloaded",
+                   {{"needs_restart", !Same}});
+  }
+
+  void stop(std::function<void()> Done) override {
+    if (this->Stopping)
+      return;
+    this->Stopping = true;
+    this->OnStopped = std::move(Done);
+    this->StopAt = this->QuietSince = this->Clock.now();
+    base::logEvent(base::LogLevel::Info, "stopping",
+                   {{"open_requests", this->Traffic.openRequests()},
+                    {"grace_ms", this->Options.Stop.Grace.count()}});
+    this->Traffic.beginStop();
+    this->Control->leave([] {});
+    this->checkStopped();
+  }
+
+private:
+  control::ControlSettings controlSettings() const {
+    control::ControlSettings Out;
+    Out.Self = this->Options.Name;
+    Out.Incarnation.Value = static_cast<std::uint64_t>(
+        this->Clock.wallNow().time_since_epoch().count());
+    Out.LinkEndpoint = "tcp://" + this->Options.Link.text();
+    Out.Lease.Duration = this->Options.Lease;
+    return Out;
+  }
+
+  base::Result<void> startReadiness() {
+    http::ServerSettings Listen;
+    Listen.Address = this->Options.Readiness.Address;
+    Listen.Port = this->Options.Readiness.Port;
+    auto Started = http::startHttpServer(
+        this->Loop, Listen,
+        [this](const http::Request &, const http::ResponseWriterPtr &Answer) {
+          constexpr int Ok = 200;
+          constexpr int Unavailable = 503;
+          bool Ready = this->Ready && !this->Stopping;
+          Answer->respond({Ready ? Ok : Unavailable, {}, ""});
+        });
+    if (!Started)
+      return tl::unexpected(Started.error());
+    this->ReadinessServer = std::move(*Started);
+    return {};
+  }
+
+  base::Result<void> startMetrics() {
+    http::ServerSettings Listen;
+    Listen.Address = this->Options.Metrics.Address;
+    Listen.Port = this->Options.Metrics.Port;
+    auto Started = http::startHttpServer(
+        this->Loop, Listen,
+        [this](const http::Request &, const http::ResponseWriterPtr &Answer) {
+          metrics::Source From{"kingcuphub-instance", this->Options.Name.Value,
+                               this->Options.Zone};
+          Answer->respond(http::jsonResponse(
+              200, this->Metrics.json(From, this->Clock).dump()));
+        });
+    if (!Started)
+      return tl::unexpected(Started.error());
+    this->MetricsServer = std::move(*Started);
+    return {};
+  }
+
+  void checkStopped() {
+    base::TimePoint Now = this->Clock.now();
+    const StopSettings &How = this->Options.Stop;
+    bool Accepting = Now < this->StopAt + How.AcceptFor;
+    if (!Accepting && !std::exchange(this->AcceptingEnded, true))
+      this->Traffic.stopAccepting();
+    if (Accepting || this->Traffic.openRequests() > 0)
+      this->QuietSince = Now;
+    bool Quiet = Now >= this->QuietSince + QuietBeforeEnd;
+    bool Late = Now >= this->StopAt + How.Grace - How.Reserve;
+    if (Quiet || Late) {
+      base::logEvent(base::LogLevel::Info, "stopped",
+                     {{"cut_requests", this->Traffic.openRequests()}});
+      this->OnStopped();
+      return;
+    }
+    this->Timer.expires_after(StopCheckInterval);
+    this->Timer.async_wait([this](asio::error_code Failed) {
+      if (!Failed)
+        this->checkStopped();
+    });
+    // The number of open requests is brought up to date by any message.
+    this->Traffic.beginStop();
+  }
+
+  asio::io_context &Loop;
+  Settings Options;
+  Adapter Speaks;
+  const base::Clock &Clock;
+  metrics::Registry Metrics;
+  std::unique_ptr<http::HttpClient> Http;
+  std::unique_ptr<control::ControlStore> Store;
+  std::unique_ptr<control::EngineClient> Engines;
+  std::unique_ptr<messaging::Messaging> Messages;
+  TrafficThread Traffic;
+  std::unique_ptr<control::Control> Control;
+  std::unique_ptr<http::HttpServer> ReadinessServer;
+  std::unique_ptr<http::HttpServer> MetricsServer;
+  asio::steady_timer Timer;
+  std::function<void()> OnStopped;
+  base::TimePoint StopAt;
+  base::TimePoint QuietSince;
+  bool Ready = false;
+  bool Stopping = false;
+  bool AcceptingEnded = false;
+};
+
+} // namespace
+
+base::Result<std::unique_ptr<Instance>>
+startInstance(asio::io_context &Loop, const Settings &Options, Adapter Speaks,
+              const base::Clock &Clock) {
+  auto New =
+      std::make_unique<WholeInstance>(Loop, Options, std::move(Speaks), Clock);
+  if (auto Started = New->start(); !Started)
+    return tl::unexpected(Started.error());
+  return std::unique_ptr<Instance>(std::move(New));
+}
+
+} // namespace kingcuphub::instance
--- /dev/null
+++ b/src/instance/internal/settings.cpp
@@ -0,0 +1,72 @@
+#include "instance/settings.h"
+
+namespace kingcuphub::instance {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds ShortestGrace{1000};
+constexpr milliseconds LongestGrace{600000};
+constexpr milliseconds ShortestLease{500};
+constexpr milliseconds LongestLease{60000};
+constexpr milliseconds ShortestWindow{1000};
+constexpr milliseconds LongestWindow{600000};
+constexpr double MostRepeats = 1e6;
+
+base::Endpoint requiredEndpoint(base::SettingsReader &Reader,
+                                const std::string &Name) {
+  if (!Reader.has(Name))
+    Reader.problem(Name, "nothing", "write ADDRESS:PORT");
+  return base::readEndpoint(Reader, Name, "127.0.0.1:0");
+}
+
+void readStop(base::SettingsReader &Reader, StopSettings &To) {
+  To.Grace = Reader.millis("grace_ms", To.Grace, ShortestGrace, LongestGrace);
+  To.AcceptFor = Reader.millis("accept_for_ms", To.AcceptFor, milliseconds(0),
+                               LongestGrace);
+  To.Reserve =
+      Reader.millis("reserve_ms", To.Reserve, milliseconds(0), LongestGrace);
+  if (To.AcceptFor + To.Reserve >= To.Grace)
+    Reader.problem("accept_for_ms", std::to_string(To.AcceptFor.count()),
+                   "leave time between it and grace_ms less reserve_ms");
+}
+
+void readRepeats(base::SettingsReader &Reader, RepeatSettings &To) {
+  To.Ratio = Reader.real("ratio", To.Ratio, 0, 1);
+  To.Extra = Reader.real("extra", To.Extra, 0, MostRepeats);
+  To.Window =
+      Reader.millis("window_ms", To.Window, ShortestWindow, LongestWindow);
+}
+
+} // namespace
+
+Settings parseSettings(base::SettingsReader &Reader) {
+  Settings Out;
+  Out.Name.Value = Reader.requiredText("name");
+  Out.Zone.Value = Reader.requiredText("zone");
+  Out.Callers = requiredEndpoint(Reader, "callers");
+  Out.Readiness = requiredEndpoint(Reader, "readiness");
+  Out.Metrics = requiredEndpoint(Reader, "metrics");
+  Out.Link = requiredEndpoint(Reader, "link");
+  Out.Store = requiredEndpoint(Reader, "store");
+  Out.Lease = Reader.millis("lease_ms", Out.Lease, ShortestLease, LongestLease);
+  Out.Level = base::parseLogLevel(
+      Reader.oneOf("log_level", "info", {"debug", "info", "warn", "error"}));
+  Reader.object("stop", [&Out](base::SettingsReader &Nested) {
+    readStop(Nested, Out.Stop);
+  });
+  Reader.object("repeats", [&Out](base::SettingsReader &Nested) {
+    readRepeats(Nested, Out.Repeats);
+  });
+  return Out;
+}
+
+nlohmann::json exampleSettings() {
+  return {{"name", "instance-1"},        {"zone", "zone-a"},
+          {"callers", "127.0.0.1:8080"}, {"readiness", "127.0.0.1:8081"},
+          {"metrics", "127.0.0.1:8082"}, {"link", "127.0.0.1:7600"},
+          {"store", "127.0.0.1:9000"}};
+}
+
+} // namespace kingcuphub::instance
--- /dev/null
+++ b/src/instance/internal/trafficthread.cpp
@@ -0,0 +1,124 @@
+#include "trafficthread.h"
+
+#include <asio/post.hpp>
+#include <utility>
+
+namespace kingcuphub::instance {
+
+namespace {
+
+forwarding::ForwarderSettings forwarderSettings(const Settings &Options) {
+  forwarding::ForwarderSettings Out;
+  Out.Board.Zone = Options.Zone;
+  Out.Board.Cold.Self = Options.Name;
+  Out.Repeats.Ratio = Options.Repeats.Ratio;
+  Out.Repeats.Extra = Options.Repeats.Extra;
+  Out.Repeats.Window = Options.Repeats.Window;
+  return Out;
+}
+
+} // namespace
+
+TrafficThread::TrafficThread(asio::io_context &ControlLoop,
+                             const Settings &Options,
+                             const forwarding::Dialect &Protocol,
+                             const base::Clock &Clock,
+                             metrics::Registry &Metrics,
+                             std::function<void()> OnWanted)
+    : ControlLoop(ControlLoop), Guard(asio::make_work_guard(this->Loop)),
+      Options(Options),
+      Forwarder(forwarding::makeForwarder(
+          this->Loop, forwarderSettings(Options), Protocol, Clock, Metrics)) {
+  this->Forwarder->onWanted([this, OnWanted = std::move(OnWanted)] {
+    asio::post(this->ControlLoop, OnWanted);
+  });
+}
+
+TrafficThread::~TrafficThread() {
+  this->Loop.stop();
+  if (this->Thread.joinable())
+    this->Thread.join();
+}
+
+base::Result<void> TrafficThread::start() {
+  http::ServerSettings Listen;
+  Listen.Address = this->Options.Callers.Address;
+  Listen.Port = this->Options.Callers.Port;
+  auto Started = http::startHttpServer(
+      this->Loop, Listen,
+      [this](http::Request Asked, http::ResponseWriterPtr Answer) {
+        this->Forwarder->handle(std::move(Asked), std::move(Answer));
+        this->Open = this->Forwarder->open();
+      });
+  if (!Started)
+    return tl::unexpected(Started.error());
+  this->Server = std::move(*Started);
+  this->Thread = std::thread([this] { this->Loop.run(); });
+  return {};
+}
+
+template <typename Work> void TrafficThread::post(Work Do) {
+  asio::post(this->Loop, [this, Do = std::move(Do)]() mutable {
+    Do();
+    this->Open = this->Forwarder->open();
+  });
+}
+
+void TrafficThread::beginStop() {
+  this->post([this] { this->Server->endKeptConnections(); });
+}
+
+void TrafficThread::stopAccepting() {
+  this->post([this] { this->Server->stopAccepting(); });
+}
+
+void TrafficThread::applyLimits(const catalog::RequestLimits &Limits) {
+  http::CallerLimits New;
+  New.MaxBodyBytes = Limits.MaxBodyBytes;
+  New.MaxHeaderBytes = Limits.MaxHeaderBytes;
+  New.ReadTimeout = Limits.HeaderTimeout;
+  New.IdleTimeout = Limits.IdleTimeout;
+  this->Server->setLimits(New);
+}
+
+void TrafficThread::setCatalog(catalog::CatalogPtr New) {
+  this->post([this, New = std::move(New)] {
+    this->applyLimits(New->Limits);
+    this->Forwarder->setCatalog(New);
+  });
+}
+
+void TrafficThread::setTargets(catalog::TargetListPtr New) {
+  this->post(
+      [this, New = std::move(New)] { this->Forwarder->setTargets(New); });
+}
+
+void TrafficThread::setInstances(unsigned Count) {
+  this->post([this, Count] { this->Forwarder->setInstances(Count); });
+}
+
+void TrafficThread::setHeld(std::map<base::TargetId, dispatch::HeldState> Held,
+                            base::TimePoint Until) {
+  this->post([this, Held = std::move(Held), Until] {
+    this->Forwarder->setHeld(Held, Until);
+  });
+}
+
+void TrafficThread::setGrants(std::vector<dispatch::AccountGrant> Grants,
+                              base::TimePoint ValidUntil) {
+  this->post([this, Grants = std::move(Grants), ValidUntil] {
+    for (const dispatch::AccountGrant &Each : Grants)
+      this->Forwarder->setGrant(Each.Account, Each.Part, ValidUntil);
+  });
+}
+
+void TrafficThread::takeUse(std::function<void(forwarding::TrafficUse)> Done) {
+  this->post([this, Done = std::move(Done)] {
+    asio::post(this->ControlLoop,
+               [Done, Use = this->Forwarder->takeUse()]() mutable {
+                 Done(std::move(Use));
+               });
+  });
+}
+
+} // namespace kingcuphub::instance
--- /dev/null
+++ b/src/instance/internal/trafficthread.h
@@ -0,0 +1,62 @@
+#ifndef KINGCUPHUB_INSTANCE_INTERNAL_TRAFFICTHREAD_H
+#define KINGCUPHUB_INSTANCE_INTERNAL_TRAFFICTHREAD_H
+
+/// \file
+/// The traffic side on its own thread: callers' server and forwarder on one
+/// loop. The methods are called on the control thread and hand over by
+/// message.
+
+#include "control/trafficport.h"
+#include "http/httpserver.h"
+#include "instance/settings.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <atomic>
+#include <memory>
+#include <thread>
+
+namespace kingcuphub::instance {
+
+class TrafficThread final : public control::TrafficPort {
+public:
+  TrafficThread(asio::io_context &ControlLoop, const Settings &Options,
+                const forwarding::Dialect &Protocol, const base::Clock &Clock,
+                metrics::Registry &Metrics, std::function<void()> OnWanted);
+  TrafficThread(const TrafficThread &) = delete;
+  TrafficThread &operator=(const TrafficThread &) = delete;
+  ~TrafficThread() override;
+
+  /// Begins to listen and starts the thread.
+  base::Result<void> start();
+  /// From now on each answer ends its connection.
+  void beginStop();
+  void stopAccepting();
+  std::size_t openRequests() const { return this->Open.load(); }
+
+  void setCatalog(catalog::CatalogPtr New) override;
+  void setTargets(catalog::TargetListPtr New) override;
+  void setInstances(unsigned Count) override;
+  void setHeld(std::map<base::TargetId, dispatch::HeldState> Held,
+               base::TimePoint Until) override;
+  void setGrants(std::vector<dispatch::AccountGrant> Grants,
+                 base::TimePoint ValidUntil) override;
+  void takeUse(std::function<void(forwarding::TrafficUse)> Done) override;
+
+private:
+  template <typename Work> void post(Work Do);
+  void applyLimits(const catalog::RequestLimits &Limits);
+
+  asio::io_context &ControlLoop;
+  asio::io_context Loop{1};
+  asio::executor_work_guard<asio::io_context::executor_type> Guard;
+  const Settings &Options;
+  std::unique_ptr<forwarding::Forwarder> Forwarder;
+  std::unique_ptr<http::HttpServer> Server;
+  std::atomic<std::size_t> Open = 0;
+  std::thread Thread;
+};
+
+} // namespace kingcuphub::instance
+
+#endif // KINGCUPHUB_INSTANCE_INTERNAL_TRAFFICTHREAD_H
--- /dev/null
+++ b/src/instance/settings.h
@@ -0,0 +1,61 @@
+#ifndef KINGCUPHUB_INSTANCE_SETTINGS_H
+#define KINGCUPHUB_INSTANCE_SETTINGS_H
+
+/// \file
+/// The settings file of an instance that carries traffic and control in one
+/// process.
+
+#include "base/endpoint.h"
+#include "base/ids.h"
+#include "base/log.h"
+#include "base/settings.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace kingcuphub::instance {
+
+/// How a graceful stop goes.
+struct StopSettings {
+  /// From the signal until the process is killed.
+  std::chrono::milliseconds Grace{8000};
+  /// How long new connections are still taken: the balancer asks once a second
+  /// and passes an instance over after two misses.
+  std::chrono::milliseconds AcceptFor{3300};
+  /// What is kept back of the grace for the end itself.
+  std::chrono::milliseconds Reserve{400};
+};
+
+/// The bound on repeats that the deployment states.
+struct RepeatSettings {
+  double Ratio = 0.2;
+  double Extra = 50;
+  std::chrono::milliseconds Window{10000};
+};
+
+struct Settings {
+  base::InstanceId Name;
+  base::ZoneId Zone;
+  base::Endpoint Callers;
+  base::Endpoint Readiness;
+  base::Endpoint Metrics;
+  /// Where other instances reach this one.
+  base::Endpoint Link;
+  /// The platform's store.
+  base::Endpoint Store;
+  StopSettings Stop;
+  RepeatSettings Repeats;
+  std::chrono::milliseconds Lease{3000};
+  base::LogLevel Level = base::LogLevel::Info;
+};
+
+/// Reads the settings; problems are left in \p Reader.
+Settings parseSettings(base::SettingsReader &Reader);
+
+/// Values of the fields that have no default.
+nlohmann::json exampleSettings();
+
+} // namespace kingcuphub::instance
+
+#endif // KINGCUPHUB_INSTANCE_SETTINGS_H
--- /dev/null
+++ b/src/residency/demandbook.h
@@ -0,0 +1,65 @@
+#ifndef KINGCUPHUB_RESIDENCY_DEMANDBOOK_H
+#define KINGCUPHUB_RESIDENCY_DEMANDBOOK_H
+
+/// \file
+/// Demand for each model and adapter over all instances, as a rate that
+/// follows changes within a second or two. No I/O and no clock.
+
+#include "residency/types.h"
+
+#include <map>
+#include <vector>
+
+namespace kingcuphub::residency {
+
+struct DemandBookSettings {
+  /// Time constant of the rates: short, as demand moves between models within
+  /// seconds, and long against the interval of the instances' reports.
+  base::Duration Smoothing = std::chrono::milliseconds(1500);
+  /// How long an instance's word on waiting requests holds.
+  base::Duration WaitingHolds = std::chrono::milliseconds(1500);
+  /// An item that was asked for within this time counts as in use.
+  base::Duration RecentFor = std::chrono::seconds(20);
+};
+
+/// Demand for one item at a moment.
+struct Demand {
+  /// Engine time asked for, in seconds a second.
+  double Work = 0;
+  unsigned Waiting = 0;
+  bool Recent = false;
+};
+
+class DemandBook {
+public:
+  explicit DemandBook(DemandBookSettings Settings) : Settings(Settings) {}
+
+  void onUse(const base::InstanceId &From, const std::vector<ItemUse> &Use,
+             base::TimePoint Now);
+  /// Demand for a model with all its adapters, or for one adapter.
+  Demand of(const catalog::ServiceId &Service, const Item &What,
+            base::TimePoint Now) const;
+  /// Adapters of a service that were asked for lately.
+  std::vector<Item> recentAdapters(const catalog::ServiceId &Service,
+                                   base::TimePoint Now) const;
+
+private:
+  struct Entry {
+    double Work = 0;
+    base::TimePoint WorkAt;
+    base::TimePoint AskedAt;
+    std::map<base::InstanceId, std::pair<unsigned, base::TimePoint>> Waiting;
+  };
+  using Items = std::map<Item, Entry>;
+
+  void add(Entry &To, const base::InstanceId &From, const ItemUse &Use,
+           base::TimePoint Now) const;
+  double fade(const Entry &Of, base::TimePoint Now) const;
+
+  DemandBookSettings Settings;
+  std::map<catalog::ServiceId, Items> Services;
+};
+
+} // namespace kingcuphub::residency
+
+#endif // KINGCUPHUB_RESIDENCY_DEMANDBOOK_H
--- /dev/null
+++ b/src/residency/holder.h
@@ -0,0 +1,74 @@
+#ifndef KINGCUPHUB_RESIDENCY_HOLDER_H
+#define KINGCUPHUB_RESIDENCY_HOLDER_H
+
+/// \file
+/// What the holder of the lease does: asks engines for reports, plans, and
+/// gives orders. Every instance has one and keeps it up to date with the
+/// catalog and the targets; it acts only while the lease is held. No I/O and no
+/// clock.
+
+#include "placement/loadbudget.h"
+#include "residency/demandbook.h"
+#include "residency/enginebook.h"
+#include "residency/planner.h"
+
+#include <map>
+#include <optional>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace kingcuphub::residency {
+
+struct HolderSettings {
+  DemandBookSettings Demand;
+  EngineBookSettings Engines;
+  PlannerSettings Planner;
+};
+
+struct AskReport {
+  base::TargetId Target;
+};
+struct SendOrder {
+  Order What;
+  std::string_view Reason;
+};
+using HolderCommand = std::variant<AskReport, SendOrder>;
+
+class Holder {
+public:
+  explicit Holder(HolderSettings Settings)
+      : Settings(Settings), Demand(Settings.Demand), Engines(Settings.Engines) {
+  }
+
+  void setCatalog(const catalog::CatalogPtr &New);
+  void setTargets(const catalog::TargetListPtr &New, base::TimePoint Now);
+  /// The lease was gained under \p Token, or lost.
+  void setLease(std::optional<FencingToken> NewToken, base::TimePoint Now);
+  bool holds() const { return this->Token.has_value(); }
+
+  void onUse(const base::InstanceId &From, const std::vector<ItemUse> &Use,
+             base::TimePoint Now);
+  void onReport(const base::TargetId &Id,
+                const std::optional<EngineReport> &Report,
+                base::TimePoint AskedAt, base::TimePoint Now);
+  void onAnswer(const Order &Sent, OrderAnswer Answer, base::TimePoint Now);
+  std::vector<HolderCommand> tick(base::TimePoint Now);
+
+  const EngineBook &engines() const { return this->Engines; }
+
+private:
+  void plan(base::TimePoint Now, std::vector<HolderCommand> &Out);
+
+  HolderSettings Settings;
+  catalog::CatalogPtr Catalog;
+  std::optional<FencingToken> Token;
+  DemandBook Demand;
+  EngineBook Engines;
+  /// One weight store a service, as the services' engines state its rate.
+  std::map<catalog::ServiceId, placement::LoadBudget> Budgets;
+};
+
+} // namespace kingcuphub::residency
+
+#endif // KINGCUPHUB_RESIDENCY_HOLDER_H
--- /dev/null
+++ b/src/residency/internal/enginebook.cpp
@@ -0,0 +1,323 @@
+#include "residency/enginebook.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcuphub::residency {
+
+namespace {
+
+/// Adapters that may be on their way to one engine at a time.
+constexpr std::size_t AdaptersInTransit = 4;
+
+void addItem(catalog::HeldModels &To, const Item &What) {
+  if (!What.isAdapter())
+    To.try_emplace(What.Model);
+  else if (auto Found = To.find(What.Model); Found != To.end())
+    Found->second.Adapters.insert(What.Adapter);
+}
+
+void removeItem(catalog::HeldModels &From, const Item &What) {
+  if (!What.isAdapter())
+    From.erase(What.Model);
+  else if (auto Found = From.find(What.Model); Found != From.end())
+    Found->second.Adapters.erase(What.Adapter);
+}
+
+std::set<Item> itemsOf(const catalog::HeldModels &Models) {
+  std::set<Item> Out;
+  for (const auto &[Model, Held] : Models) {
+    Out.insert({Model, {}});
+    for (const base::AdapterId &Each : Held.Adapters)
+      Out.insert({Model, Each});
+  }
+  return Out;
+}
+
+} // namespace
+
+const catalog::Engine *
+EngineBook::engineOf(const catalog::ServiceId &Id) const {
+  const catalog::Service *Service =
+      this->Catalog ? this->Catalog->service(Id) : nullptr;
+  return Service != nullptr && Service->Engine ? &*Service->Engine : nullptr;
+}
+
+double EngineBook::sizeOf(const catalog::Engine &Of, const Item &What) const {
+  auto Found = Of.Models.find(What.Model);
+  if (Found == Of.Models.end())
+    return 0;
+  return What.isAdapter() ? Found->second.AdapterMb : Found->second.WeightsMb;
+}
+
+bool EngineBook::isUsable(const catalog::Target &Of) const {
+  return !Of.Entry.Leaving && !Of.EndsAt &&
+         this->Targets->ZonesOut.count(Of.Entry.Zone) == 0;
+}
+
+const catalog::Target *EngineBook::target(const base::TargetId &Id) const {
+  if (!this->Targets)
+    return nullptr;
+  auto Found = this->Targets->Targets.find(Id);
+  return Found == this->Targets->Targets.end() ? nullptr : &Found->second;
+}
+
+void EngineBook::setTargets(const catalog::TargetListPtr &New,
+                            base::TimePoint Now) {
+  this->Targets = New;
+  for (auto Each = this->Engines.begin(); Each != this->Engines.end();)
+    Each = New->Targets.count(Each->first) == 0 ? this->Engines.erase(Each)
+                                                : std::next(Each);
+  for (const auto &[Id, Target] : New->Targets) {
+    if (this->engineOf(Target.Entry.Service) == nullptr)
+      continue;
+    Engine &Of = this->Engines[Id];
+    if (Of.Lifetime == Target.Entry.Lifetime)
+      continue;
+    Engine Fresh;
+    Fresh.Lifetime = Target.Entry.Lifetime;
+    Fresh.Late = std::move(Of.Late);
+    if (Of.Open && Of.Open->What.Kind == OrderKind::Load)
+      Fresh.Late.push_back({Of.Open->What.What, Of.Lifetime,
+                            Of.Open->What.ExpectedRevision,
+                            Now + this->Settings.LateOrders});
+    Of = std::move(Fresh);
+    ++this->Revision;
+  }
+}
+
+void EngineBook::start() {
+  for (auto &[Id, Each] : this->Engines) {
+    Engine Fresh;
+    Fresh.Lifetime = Each.Lifetime;
+    Each = std::move(Fresh);
+  }
+  ++this->Revision;
+}
+
+std::vector<base::TargetId> EngineBook::takeDueReports(base::TimePoint Now) {
+  std::vector<base::TargetId> Due;
+  for (auto &[Id, Each] : this->Engines) {
+    bool Eager = !Each.Reported || Each.Running || Each.Open;
+    base::Duration Every =
+        Eager ? this->Settings.ReportWhileBusy : this->Settings.ReportEvery;
+    if (Each.ReportPending || Now < Each.ReportAskedAt + Every)
+      continue;
+    Each.ReportPending = true;
+    Each.ReportAskedAt = Now;
+    Due.push_back(Id);
+  }
+  return Due;
+}
+
+void EngineBook::adopt(Engine &Of, const EngineReport &Report) {
+  Of.State = Report;
+  Of.Reported = true;
+  for (auto Each = Of.Arriving.begin(); Each != Of.Arriving.end();) {
+    bool Fetching = Report.Fetching.count(Each->first) != 0;
+    Each = Fetching ? std::next(Each) : Of.Arriving.erase(Each);
+  }
+  if (Of.Running && !Report.Busy)
+    Of.Running.reset();
+}
+
+void EngineBook::onReport(const base::TargetId &Id,
+                          const std::optional<EngineReport> &Report,
+                          base::TimePoint AskedAt, base::TimePoint Now) {
+  auto Found = this->Engines.find(Id);
+  if (Found == this->Engines.end())
+    return;
+  Engine &Of = Found->second;
+  if (Of.ReportAskedAt == AskedAt)
+    Of.ReportPending = false;
+  // A report of fewer orders is older than what is known already.
+  if (!Report || (Of.Reported && Report->Revision < Of.State.Revision))
+    return;
+  bool Moved = Of.Open && Report->Revision > Of.Open->What.ExpectedRevision;
+  // Every copy of the open order but one expects a revision that has passed.
+  if (Moved && !Of.Open->InFlight)
+    Of.Open.reset();
+  catalog::HeldModels Before = Of.State.Models;
+  bool First = !Of.Reported;
+  this->adopt(Of, *Report);
+  for (const auto &[What, ReadyAt] : Of.Arriving)
+    if (ReadyAt <= Now)
+      addItem(Of.State.Models, What);
+  if (First || Before != Of.State.Models)
+    ++this->Revision;
+}
+
+std::optional<Order> EngineBook::begin(const base::TargetId &Id, OrderKind Kind,
+                                       const Item &What, FencingToken Token,
+                                       base::TimePoint Now) {
+  auto Found = this->Engines.find(Id);
+  if (Found == this->Engines.end())
+    return std::nullopt;
+  Engine &Of = Found->second;
+  if (!Of.Reported || Of.Open || Of.Running || Of.State.Busy)
+    return std::nullopt;
+  Order New{Id, Of.Lifetime, Kind, What, Of.State.Revision, Token};
+  Of.Open = OpenOrder{New, Now, true};
+  if (Kind == OrderKind::Unload)
+    ++this->Revision;
+  return New;
+}
+
+void EngineBook::accept(Engine &Of, const Order &Sent, base::TimePoint Now) {
+  Of.State.Revision = std::max(Of.State.Revision, Sent.ExpectedRevision + 1);
+  if (Sent.Kind == OrderKind::Unload) {
+    removeItem(Of.State.Models, Sent.What);
+    Of.Arriving.erase(Sent.What);
+  } else if (Sent.What.isAdapter()) {
+    auto Ahead = static_cast<int>(Of.Arriving.size());
+    Of.Arriving[Sent.What] = Now + this->Settings.AdapterLoad * (Ahead + 1);
+  }
+  if (!Sent.What.isAdapter())
+    Of.Running = Sent;
+  // The end of the order is looked for from now on.
+  Of.ReportAskedAt = Now;
+}
+
+void EngineBook::onAnswer(const Order &Sent, OrderAnswer Answer,
+                          base::TimePoint Now) {
+  auto Found = this->Engines.find(Sent.Target);
+  if (Found == this->Engines.end() || Found->second.Lifetime != Sent.Lifetime)
+    return;
+  Engine &Of = Found->second;
+  bool IsOpen = Of.Open && Of.Open->What.What == Sent.What &&
+                Of.Open->What.ExpectedRevision == Sent.ExpectedRevision;
+  if (!IsOpen)
+    return;
+  ++this->Revision;
+  if (Answer == OrderAnswer::Unknown) {
+    Of.Open->InFlight = false;
+    Of.Open->SentAt = Now;
+    if (Sent.Kind == OrderKind::Load)
+      Of.Late.push_back({Sent.What, Of.Lifetime, Sent.ExpectedRevision,
+                         Now + this->Settings.LateOrders});
+    return;
+  }
+  Of.Open.reset();
+  switch (Answer) {
+  case OrderAnswer::Accepted:
+    this->accept(Of, Sent, Now);
+    return;
+  case OrderAnswer::Holds:
+    if (Sent.Kind == OrderKind::Load) {
+      addItem(Of.State.Models, Sent.What);
+      return;
+    }
+    removeItem(Of.State.Models, Sent.What);
+    // An adapter that nobody uses is unloaded at once, which counts.
+    if (Sent.What.isAdapter())
+      Of.State.Revision =
+          std::max(Of.State.Revision, Sent.ExpectedRevision + 1);
+    return;
+  case OrderAnswer::Invalid:
+    Of.Refused[Sent.What] = Now + this->Settings.RefusedFor;
+    Of.Reported = false;
+    return;
+  default:
+    Of.Reported = false;
+    return;
+  }
+}
+
+std::vector<Order> EngineBook::takeResends(FencingToken Token,
+                                           base::TimePoint Now) {
+  std::vector<Order> Out;
+  for (auto &[Id, Each] : this->Engines) {
+    if (!Each.Open || Each.Open->InFlight ||
+        Now < Each.Open->SentAt + this->Settings.ResendAfter)
+      continue;
+    Each.Open->InFlight = true;
+    Each.Open->SentAt = Now;
+    Each.Open->What.Token = Token;
+    Out.push_back(Each.Open->What);
+  }
+  return Out;
+}
+
+EngineView EngineBook::view(const base::TargetId &Id, const Engine &Of,
+                            const catalog::Target &Listed,
+                            base::TimePoint Now) const {
+  EngineView Out;
+  Out.Target = Id;
+  Out.Service = Listed.Entry.Service;
+  Out.Zone = Listed.Entry.Zone;
+  Out.Usable = Of.Reported && this->isUsable(Listed);
+  bool Free = Out.Usable && !Of.Open && !Of.Running && !Of.State.Busy;
+  Out.TakesModelOrder = Free && Of.Arriving.empty();
+  Out.TakesAdapterOrder = Free && Of.Arriving.size() < AdaptersInTransit;
+  Out.Models = Of.State.Models;
+  Out.CachedWeights = Of.State.CachedWeights;
+  Out.Load = Of.State.Running + Of.State.Waiting;
+  Out.Claimed = itemsOf(Of.State.Models);
+  auto Claim = [&Out](const Item &What) {
+    if (Out.Claimed.insert(What).second)
+      Out.Loading.insert(What);
+  };
+  for (const Item &Each : Of.State.Fetching)
+    Claim(Each);
+  for (const auto &[What, ReadyAt] : Of.Arriving)
+    Claim(What);
+  if (Of.Running && Of.Running->Kind == OrderKind::Load)
+    Claim(Of.Running->What);
+  if (Of.Running && Of.Running->Kind == OrderKind::Unload)
+    Out.Claimed.insert(Of.Running->What);
+  if (Of.Open && Of.Open->What.Kind == OrderKind::Load)
+    Claim(Of.Open->What.What);
+  if (Of.Open && Of.Open->What.Kind == OrderKind::Unload)
+    removeItem(Out.Models, Of.Open->What.What);
+  for (const LateLoad &Each : Of.Late)
+    if (Now < Each.Until && (Each.Lifetime != Of.Lifetime ||
+                             Each.ExpectedRevision == Of.State.Revision))
+      Out.Claimed.insert(Each.What);
+  for (const auto &[What, Until] : Of.Refused)
+    if (Now < Until)
+      Out.Claimed.insert(What);
+  const catalog::Engine *Kind = this->engineOf(Listed.Entry.Service);
+  for (const Item &Each : Out.Claimed) {
+    Out.TakenMb += Kind == nullptr ? 0 : this->sizeOf(*Kind, Each);
+    Out.TakenAdapters += Each.isAdapter() ? 1 : 0;
+  }
+  return Out;
+}
+
+std::vector<EngineView> EngineBook::views(base::TimePoint Now) const {
+  std::vector<EngineView> Out;
+  for (const auto &[Id, Each] : this->Engines)
+    if (const catalog::Target *Listed = this->target(Id))
+      Out.push_back(this->view(Id, Each, *Listed, Now));
+  return Out;
+}
+
+std::map<base::TargetId, std::pair<catalog::Lifetime, catalog::HeldModels>>
+EngineBook::held(base::TimePoint Now) const {
+  std::map<base::TargetId, std::pair<catalog::Lifetime, catalog::HeldModels>>
+      Out;
+  for (const auto &[Id, Each] : this->Engines) {
+    if (!Each.Reported)
+      continue;
+    catalog::HeldModels Models = Each.State.Models;
+    for (const auto &[What, ReadyAt] : Each.Arriving)
+      if (ReadyAt <= Now)
+        addItem(Models, What);
+    if (Each.Open && Each.Open->What.Kind == OrderKind::Unload)
+      removeItem(Models, Each.Open->What.What);
+    Out[Id] = {Each.Lifetime, std::move(Models)};
+  }
+  return Out;
+}
+
+std::optional<base::TimePoint>
+EngineBook::nextChange(base::TimePoint Now) const {
+  std::optional<base::TimePoint> First;
+  for (const auto &[Id, Each] : this->Engines)
+    for (const auto &[What, ReadyAt] : Each.Arriving)
+      if (ReadyAt > Now && (!First || ReadyAt < *First))
+        First = ReadyAt;
+  return First;
+}
+
+} // namespace kingcuphub::residency
--- /dev/null
+++ b/src/residency/internal/holder.cpp
@@ -0,0 +1,88 @@
+#include "residency/holder.h"
+
+#include <algorithm>
+
+namespace kingcuphub::residency {
+
+void Holder::setCatalog(const catalog::CatalogPtr &New) {
+  this->Catalog = New;
+  this->Engines.setCatalog(New);
+}
+
+void Holder::setTargets(const catalog::TargetListPtr &New,
+                        base::TimePoint Now) {
+  this->Engines.setTargets(New, Now);
+}
+
+void Holder::setLease(std::optional<FencingToken> NewToken,
+                      base::TimePoint Now) {
+  bool Gained = NewToken && this->Token != NewToken;
+  this->Token = NewToken;
+  if (!Gained)
+    return;
+  this->Engines.start();
+  // The former holder may just have used the weight store's rate.
+  for (auto &[Id, Each] : this->Budgets)
+    Each.start(Now);
+}
+
+void Holder::onUse(const base::InstanceId &From,
+                   const std::vector<ItemUse> &Use, base::TimePoint Now) {
+  this->Demand.onUse(From, Use, Now);
+}
+
+void Holder::onReport(const base::TargetId &Id,
+                      const std::optional<EngineReport> &Report,
+                      base::TimePoint AskedAt, base::TimePoint Now) {
+  this->Engines.onReport(Id, Report, AskedAt, Now);
+}
+
+void Holder::onAnswer(const Order &Sent, OrderAnswer Answer,
+                      base::TimePoint Now) {
+  this->Engines.onAnswer(Sent, Answer, Now);
+}
+
+std::vector<HolderCommand> Holder::tick(base::TimePoint Now) {
+  std::vector<HolderCommand> Out;
+  if (!this->Token || !this->Catalog)
+    return Out;
+  for (const base::TargetId &Each : this->Engines.takeDueReports(Now))
+    Out.emplace_back(AskReport{Each});
+  for (const Order &Each : this->Engines.takeResends(*this->Token, Now))
+    Out.emplace_back(SendOrder{Each, "no-answer"});
+  this->plan(Now, Out);
+  return Out;
+}
+
+void Holder::plan(base::TimePoint Now, std::vector<HolderCommand> &Out) {
+  std::vector<EngineView> Views = this->Engines.views(Now);
+  for (const auto &[Id, Service] : this->Catalog->Services) {
+    if (!Service.Engine)
+      continue;
+    auto [Budget, New] = this->Budgets.try_emplace(
+        Id, placement::LoadLimits{Service.Engine->StoreLoadsPerSecond,
+                                  this->Settings.Planner.LoadsAtOnce});
+    if (New)
+      Budget->second.start(Now);
+    auto UnderWay = static_cast<unsigned>(
+        std::count_if(Views.begin(), Views.end(), [](const EngineView &Each) {
+          return std::any_of(
+              Each.Loading.begin(), Each.Loading.end(),
+              [](const Item &What) { return !What.isAdapter(); });
+        }));
+    PlanInput Input{Id,    *Service.Engine,
+                    Views, this->Demand,
+                    Now,   Budget->second.modelLoads(Now, UnderWay)};
+    for (const Move &Each : planMoves(Input, this->Settings.Planner)) {
+      auto Order = this->Engines.begin(Each.Target, Each.Kind, Each.What,
+                                       *this->Token, Now);
+      if (!Order)
+        continue;
+      if (Each.FromStore)
+        Budget->second.loadStarted();
+      Out.emplace_back(SendOrder{*Order, Each.Reason});
+    }
+  }
+}
+
+} // namespace kingcuphub::residency
--- /dev/null
+++ b/src/residency/internal/holderlease.cpp
@@ -0,0 +1,137 @@
+#include "residency/holderlease.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcuphub::residency {
+
+namespace {
+
+/// Own appends that a read is matched against; older ones have lapsed.
+constexpr std::size_t MaxPending = 16;
+
+} // namespace
+
+HolderLease::HolderLease(base::InstanceId NewSelf,
+                         base::Incarnation NewIncarnation,
+                         std::string NewEndpoint,
+                         HolderLeaseSettings NewSettings, std::uint64_t Seed)
+    : Self(std::move(NewSelf)), Incarnation(NewIncarnation),
+      Endpoint(std::move(NewEndpoint)), Settings(NewSettings), Random(Seed) {
+  this->drawDelay();
+}
+
+void HolderLease::drawDelay() {
+  std::uniform_int_distribution<std::int64_t> Spread(
+      0, this->Settings.ClaimSpread.count());
+  this->Delay = std::chrono::milliseconds(Spread(this->Random));
+}
+
+bool HolderLease::isMine() const {
+  return this->Latest && !this->Latest->Released &&
+         this->Latest->Holder == this->Self &&
+         this->Latest->Incarnation == this->Incarnation;
+}
+
+void HolderLease::onRead(const std::optional<LeaseRecord> &Record,
+                         LeaseEnd NewEnd, base::TimePoint Now) {
+  if (this->End && NewEnd < *this->End)
+    return;
+  bool News = !this->End || *this->End != NewEnd;
+  if (News) {
+    this->SeenAt = Now;
+    this->drawDelay();
+  }
+  this->Latest = Record;
+  this->End = NewEnd;
+  if (!this->isMine()) {
+    this->ValidUntil = {};
+    this->Fenced = false;
+    return;
+  }
+  auto Own = std::find_if(
+      this->Pending.begin(), this->Pending.end(),
+      [&](const Sent &Each) { return Each.Number == Record->Number; });
+  if (Own != this->Pending.end())
+    this->ValidUntil =
+        std::max(this->ValidUntil, Own->At + this->Settings.Duration);
+}
+
+LeaseAppend HolderLease::append(bool Release, unsigned Instances,
+                                base::TimePoint Now) {
+  LeaseAppend Out;
+  Out.At = *this->End;
+  Out.Record.Holder = this->Self;
+  Out.Record.Incarnation = this->Incarnation;
+  Out.Record.Number = this->NextNumber++;
+  Out.Record.Token =
+      this->isMine() ? this->Latest->Token : FencingToken{this->End->Value + 1};
+  Out.Record.Released = Release;
+  Out.Record.Endpoint = this->Endpoint;
+  Out.Record.Instances = Instances;
+  this->LastInstances = Instances;
+  this->LastSentAt = Now;
+  this->PendingSince = Now;
+  if (!Release)
+    this->Pending.push_back({Out.Record.Number, Now});
+  if (this->Pending.size() > MaxPending)
+    this->Pending.pop_front();
+  return Out;
+}
+
+std::optional<LeaseAppend> HolderLease::tick(unsigned Instances,
+                                             base::TimePoint Now) {
+  if (this->Leaving || !this->End)
+    return std::nullopt;
+  if (this->PendingSince &&
+      Now < *this->PendingSince + this->Settings.AppendTimeout)
+    return std::nullopt;
+  if (this->isMine()) {
+    if (this->Fenced || Now < this->LastSentAt + this->Settings.RenewEvery)
+      return std::nullopt;
+    return this->append(false, Instances, Now);
+  }
+  bool Free = !this->Latest || this->Latest->Released;
+  base::Duration Wait =
+      Free ? base::Duration(this->Delay)
+           : this->Settings.Duration + this->Settings.Drift + this->Delay;
+  if (Now < this->SeenAt + Wait)
+    return std::nullopt;
+  return this->append(false, Instances, Now);
+}
+
+void HolderLease::onAppended(const LeaseAppend &Sent, base::TimePoint Now) {
+  this->PendingSince.reset();
+  if (this->End && *this->End == Sent.At)
+    this->onRead(Sent.Record, LeaseEnd{Sent.At.Value + 1}, Now);
+}
+
+void HolderLease::onNotAppended(const LeaseAppend &Sent) {
+  this->PendingSince.reset();
+  if (this->End && *this->End == Sent.At)
+    this->End.reset();
+}
+
+void HolderLease::onFenced() {
+  this->Fenced = true;
+  this->ValidUntil = {};
+  this->End.reset();
+}
+
+std::optional<LeaseAppend> HolderLease::release(base::TimePoint Now) {
+  this->Leaving = true;
+  bool Held = this->isMine() && this->End;
+  this->ValidUntil = {};
+  if (!Held)
+    return std::nullopt;
+  return this->append(true, this->LastInstances, Now);
+}
+
+std::optional<FencingToken> HolderLease::held(base::TimePoint Now) const {
+  if (this->Leaving || this->Fenced || !this->isMine() ||
+      Now >= this->ValidUntil)
+    return std::nullopt;
+  return this->Latest->Token;
+}
+
+} // namespace kingcuphub::residency
--- a/src/routing/internal/router.cpp
+++ b/src/routing/internal/router.cpp
@@ -1,16 +1,13 @@
 #include "routing/router.h"
 
+#include "base/visitor.h"
+
 #include <algorithm>
 
 namespace kingcuphub::routing {
 
 namespace {
 
-template <typename... Handlers> struct Visitor : Handlers... {
-  using Handlers::operator()...;
-};
-template <typename... Handlers> Visitor(Handlers...) -> Visitor<Handlers...>;
-
 std::int64_t reportedLoad(const TargetView &Each) {
   return Each.report() ? Each.report()->Running + Each.report()->Waiting : 0;
 }
@@ -89,7 +86,7 @@
   if (From.empty())
     return nullptr;
   return std::visit(
-      Visitor{
+      base::Visitor{
           [&](PowerOfTwoPolicy) { return this->twoChoices(From, Query, Now); },
           [&](RandomPolicy) { return From[this->Random() % From.size()]; },
           [&](RoundRobinPolicy &Policy) {
