Reports of engines go on after orders; streams wait within their callers' patience; stopping instances refuse

Cause: accepting an order moved the time by which a pending report was matched, so no engine was asked again and none took more than four adapters; a stream's caller leaves after 2 s without an event while the line held it for 45% of 12 s; a stopping instance took requests on kept connections until its end. Change: a report counts by engine alone; adapters count as held once their time has come; the holder tells when models will be loaded and later loads are refused at once; idle connections close and requests are refused unrun after accept_for_ms. Ruled out: engines refusing orders (26 of 26 accepted).

--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -314,7 +314,8 @@
     this->HeldRevision = Reply.held_revision();
     if (Reply.held_included())
       this->Held = readHeld(Reply);
-    this->Traffic.setHeld(this->Held, Now + this->Settings.HeldFor);
+    this->Traffic.setHeld(this->Held, readLoading(Reply, Now),
+                          Now + this->Settings.HeldFor);
     if (Reply.instances() > 0)
       this->Traffic.setInstances(Reply.instances());
     auto AskedAt = this->Asked.find(Reply.number());
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -103,6 +103,7 @@
              Report.held_revision() == this->PublishedRevision;
   if (!Has)
     writeHeld(this->Published, Reply);
+  writeLoading(this->Holder.engines().loading(Now), Now, Reply);
   writeGrants(this->Shares.onUse(Instance, readAccounts(Report), Now), Reply);
   this->Server->send(From, Reply.SerializeAsString());
   this->tick();
@@ -147,6 +148,7 @@
   News.set_instances(this->instances());
   News.set_held_revision(this->PublishedRevision);
   writeHeld(this->Published, News);
+  writeLoading(this->Holder.engines().loading(Now), Now, News);
   std::string Bytes = News.SerializeAsString();
   for (auto Each = this->Clients.begin(); Each != this->Clients.end();) {
     if (Now > Each->second + this->Settings.HeldFor) {
@@ -170,13 +172,12 @@
   const catalog::Target *Of = this->Holder.engines().target(Command.Target);
   if (Of == nullptr)
     return;
-  base::TimePoint AskedAt = this->Clock.now();
   this->Engines.report(
-      *Of, [this, Live = this->Alive, Id = Command.Target,
-            AskedAt](const std::optional<residency::EngineReport> &Report) {
+      *Of, [this, Live = this->Alive, Id = Command.Target](
+               const std::optional<residency::EngineReport> &Report) {
         if (!*Live)
           return;
-        this->Holder.onReport(Id, Report, AskedAt, this->Clock.now());
+        this->Holder.onReport(Id, Report, this->Clock.now());
         this->tick();
       });
 }
--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -1,5 +1,7 @@
 #include "linkmessages.h"
 
+#include <algorithm>
+
 namespace kingcuphub::control {
 
 void writeUse(const forwarding::TrafficUse &Use, wire::InstanceReport &To) {
@@ -69,6 +71,26 @@
   return Out;
 }
 
+void writeLoading(const LoadingModels &Loading, base::TimePoint Now,
+                  wire::HolderReply &To) {
+  for (const auto &[Key, At] : Loading) {
+    wire::LoadingModel &Out = *To.add_loading();
+    Out.set_service(Key.first.Value);
+    Out.set_model(Key.second.Value);
+    auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(At - Now);
+    Out.set_ready_in_ms(static_cast<std::uint32_t>(
+        std::max<std::int64_t>(0, Left.count())));
+  }
+}
+
+LoadingModels readLoading(const wire::HolderReply &From, base::TimePoint Now) {
+  LoadingModels Out;
+  for (const wire::LoadingModel &Each : From.loading())
+    Out[{{Each.service()}, {Each.model()}}] =
+        Now + std::chrono::milliseconds(Each.ready_in_ms());
+  return Out;
+}
+
 void writeGrants(const std::vector<dispatch::AccountGrant> &Grants,
                  wire::HolderReply &To) {
   for (const dispatch::AccountGrant &Each : Grants) {
--- a/src/control/internal/linkmessages.h
+++ b/src/control/internal/linkmessages.h
@@ -26,6 +26,12 @@
 std::map<base::TargetId, dispatch::HeldState>
 readHeld(const wire::HolderReply &From);
 
+using LoadingModels = std::map<dispatch::ServiceModel, base::TimePoint>;
+
+void writeLoading(const LoadingModels &Loading, base::TimePoint Now,
+                  wire::HolderReply &To);
+LoadingModels readLoading(const wire::HolderReply &From, base::TimePoint Now);
+
 void writeGrants(const std::vector<dispatch::AccountGrant> &Grants,
                  wire::HolderReply &To);
 std::vector<dispatch::AccountGrant> readGrants(const wire::HolderReply &From);
--- a/src/control/trafficport.h
+++ b/src/control/trafficport.h
@@ -19,8 +19,10 @@
   virtual void setCatalog(catalog::CatalogPtr New) = 0;
   virtual void setTargets(catalog::TargetListPtr New) = 0;
   virtual void setInstances(unsigned Count) = 0;
-  virtual void setHeld(std::map<base::TargetId, dispatch::HeldState> Held,
-                       base::TimePoint Until) = 0;
+  virtual void
+  setHeld(std::map<base::TargetId, dispatch::HeldState> Held,
+          std::map<dispatch::ServiceModel, base::TimePoint> Loading,
+          base::TimePoint Until) = 0;
   virtual void setGrants(std::vector<dispatch::AccountGrant> Grants,
                          base::TimePoint ValidUntil) = 0;
   /// Asks for what was counted; \p Done is called on the control thread.
--- a/src/dispatch/internal/targetboard.cpp
+++ b/src/dispatch/internal/targetboard.cpp
@@ -78,6 +78,31 @@
     Of->Lacking.clear();
 }
 
+void TargetBoard::setLoading(
+    std::map<ServiceModel, base::TimePoint> NewLoading) {
+  this->Loading = std::move(NewLoading);
+}
+
+std::optional<base::TimePoint>
+TargetBoard::loadedAt(const catalog::ServiceId &Service,
+                      const base::ModelId &Model) const {
+  auto Found = this->Loading.find({Service, Model});
+  if (Found == this->Loading.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+bool TargetBoard::isModelHeld(const TargetQuery &Query,
+                              base::TimePoint Now) const {
+  TargetQuery AnyAdapter = Query;
+  AnyAdapter.Adapter = {};
+  for (const auto &[Id, Target] : this->Targets->Targets)
+    if (Target.Entry.Service == Query.Service && this->mayUse(Target, Now) &&
+        this->holds(Target, this->States.at(Id), AnyAdapter, Now))
+      return true;
+  return false;
+}
+
 const catalog::Target *TargetBoard::find(const base::TargetId &Id) const {
   if (!this->Targets)
     return nullptr;
--- a/src/dispatch/internal/usagelimit.cpp
+++ b/src/dispatch/internal/usagelimit.cpp
@@ -21,9 +21,12 @@
   Of.GrantedUntil = ValidUntil;
 }
 
+double UsageLimit::basePart() const {
+  return BasePart / static_cast<double>(std::max(1U, this->Instances));
+}
+
 double UsageLimit::partOf(const Bucket &Of, base::TimePoint Now) const {
-  double Base = BasePart / static_cast<double>(std::max(1U, this->Instances));
-  return Base + (Now < Of.GrantedUntil ? Of.Granted : 0);
+  return this->basePart() + (Now < Of.GrantedUntil ? Of.Granted : 0);
 }
 
 void UsageLimit::refill(Bucket &Of, const catalog::Account &Account,
@@ -31,8 +34,9 @@
   double Part = this->partOf(Of, Now);
   double Capacity = Part * Account.Burst;
   if (!Of.Started) {
+    // Another instance may have used the burst of the granted part already.
     Of.Started = true;
-    Of.Level = Capacity;
+    Of.Level = this->basePart() * Account.Burst;
   } else {
     Of.Level += Part * Account.RatePerSecond * Seconds(Now - Of.At).count();
   }
@@ -61,6 +65,11 @@
   return std::min(Wait, LongestRefill);
 }
 
+void UsageLimit::charge(const catalog::Account &Account, double Amount) {
+  if (Account.RatePerSecond > 0)
+    this->Buckets[Account.Id].Level -= Amount;
+}
+
 void UsageLimit::putBack(const catalog::Account &Account, double Amount) {
   if (Account.RatePerSecond <= 0)
     return;
--- a/src/dispatch/targetboard.h
+++ b/src/dispatch/targetboard.h
@@ -73,6 +73,8 @@
   catalog::HeldModels Models;
 };
 
+using ServiceModel = std::pair<catalog::ServiceId, base::ModelId>;
+
 struct TargetBoardSettings {
   base::ZoneId Zone;
   ColdLimitSettings Cold;
@@ -110,6 +112,14 @@
   /// Takes the lease holder's word; it holds until \p Until.
   void setHeld(const base::TargetId &Id, HeldState Held, base::TimePoint Until);
 
+  /// Takes the lease holder's word on when models will be loaded.
+  void setLoading(std::map<ServiceModel, base::TimePoint> NewLoading);
+  /// Nothing if no load is known to be under way.
+  std::optional<base::TimePoint> loadedAt(const catalog::ServiceId &Service,
+                                          const base::ModelId &Model) const;
+  /// Whether a target that may be used holds the model, whatever adapters.
+  bool isModelHeld(const TargetQuery &Query, base::TimePoint Now) const;
+
   TargetChoice choose(const TargetQuery &Query, base::TimePoint Now);
   /// Whether the target may still be sent to, as asked right before it is.
   bool maySend(const base::TargetId &Id, base::TimePoint Now) const;
@@ -170,6 +180,7 @@
   ColdLimit Cold;
   routing::PrefixHints Hints;
   std::map<base::TargetId, State> States;
+  std::map<ServiceModel, base::TimePoint> Loading;
 };
 
 } // namespace kingcuphub::dispatch
--- a/src/dispatch/usagelimit.h
+++ b/src/dispatch/usagelimit.h
@@ -42,6 +42,8 @@
   /// is taken and the time is given after which there will be.
   std::optional<std::chrono::milliseconds>
   take(const catalog::Account &Account, double Amount, base::TimePoint Now);
+  /// Takes \p Amount, also into debt: a request that was admitted runs again.
+  void charge(const catalog::Account &Account, double Amount);
   /// Puts back what was taken for a request that has certainly not run.
   void putBack(const catalog::Account &Account, double Amount);
   std::vector<AccountUse> takeUse(base::TimePoint Now);
@@ -57,6 +59,7 @@
     double Asked = 0;
   };
 
+  double basePart() const;
   double partOf(const Bucket &Of, base::TimePoint Now) const;
   void refill(Bucket &Of, const catalog::Account &Account,
               base::TimePoint Now) const;
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -37,8 +37,16 @@
   double WaitObjectives = 3;
   /// The least that such a request may wait.
   std::chrono::milliseconds LeastWait{400};
-  /// The longest wait for a model or adapter to be loaded.
-  std::chrono::milliseconds LoadWait{6000};
+  /// A caller gives a stream up that is silent for this long, for this many
+  /// objectives or for this many pauses, whichever is longest.
+  std::chrono::milliseconds Patience{2000};
+  double PatienceObjectives = 4;
+  double PatiencePauses = 8;
+  /// How long a request for a model or adapter waits for the holder's word on
+  /// when it will be loaded.
+  std::chrono::milliseconds NewsWait{400};
+  /// A load that is expected to end is given this much longer.
+  std::chrono::milliseconds LoadSlack{250};
   /// The longest wait for a service that has no target.
   std::chrono::milliseconds NoTargetWait{700};
   /// An answer up to this size is held until it is whole, so that a cut one
@@ -71,12 +79,17 @@
   virtual void
   setHeld(const std::map<base::TargetId, dispatch::HeldState> &Held,
           base::TimePoint Until) = 0;
+  virtual void setLoading(
+      std::map<dispatch::ServiceModel, base::TimePoint> Loading) = 0;
   virtual void setGrant(const base::AccountId &Account, double Part,
                         base::TimePoint ValidUntil) = 0;
   virtual TrafficUse takeUse() = 0;
   /// Called when a request begins to wait for a model or adapter that no
   /// target holds.
   virtual void onWanted(std::function<void()> Wanted) = 0;
+  /// From now on new requests are refused unrun, as they could not be finished
+  /// before the process ends.
+  virtual void refuseNew() = 0;
   /// Requests that have no complete answer yet.
   virtual std::size_t open() const = 0;
 };
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -20,6 +20,8 @@
 
 /// Targets that may refuse a request unrun before it is refused as a whole.
 constexpr unsigned MaxUnrun = 6;
+/// A caller that comes back is taken to another instance by the balancer.
+constexpr std::chrono::milliseconds ComeBackElsewhere{50};
 /// Time below which another attempt is not worth its load.
 constexpr std::chrono::milliseconds LeastAttempt{30};
 /// Engine time of a prompt token and of a generated one in a usual batch; only
@@ -71,6 +73,10 @@
     return;
   }
   this->Facts = std::move(*Read);
+  if (this->Context.RefusesNew) {
+    this->refuse(Unavailable, "stopping", ComeBackElsewhere);
+    return;
+  }
   if (!this->Context.Catalog || !this->Context.Targets) {
     this->refuse(Unavailable, "starting",
                  this->Context.Settings.DefaultRetryAfter);
@@ -220,23 +226,66 @@
 
 std::chrono::milliseconds Exchange::waitLimit(Waits For) const {
   const ForwarderSettings &Settings = this->Context.Settings;
-  auto Left = this->AnswerBy - this->now();
   auto Part = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Left * Settings.WaitPart);
+      this->patience() * Settings.WaitPart);
   switch (For) {
   case Waits::ForPlace: {
     auto ByObjective = std::chrono::duration_cast<std::chrono::milliseconds>(
         this->Route->Objective * Settings.WaitObjectives);
     return std::min(Part, std::max(Settings.LeastWait, ByObjective));
   }
-  case Waits::ForItem:
-    return std::min(Part, Settings.LoadWait);
+  case Waits::ForItem: {
+    auto Loaded = this->loadedIn();
+    return std::min(Part, Loaded ? *Loaded + Settings.LoadSlack
+                                 : Settings.NewsWait);
+  }
   case Waits::ForTarget:
     return std::min(Part, Settings.NoTargetWait);
   }
   return Part;
 }
 
+/// How long the caller goes on waiting for a first answer.
+std::chrono::milliseconds Exchange::patience() const {
+  using std::chrono::milliseconds;
+  const ForwarderSettings &Settings = this->Context.Settings;
+  base::TimePoint Now = this->now();
+  auto Left = std::chrono::duration_cast<milliseconds>(this->AnswerBy - Now);
+  if (!this->Route->Streaming)
+    return Left;
+  auto Longest = std::max(
+      {Settings.Patience,
+       std::chrono::duration_cast<milliseconds>(this->Route->Objective *
+                                                Settings.PatienceObjectives),
+       std::chrono::duration_cast<milliseconds>(this->Route->PauseObjective *
+                                                Settings.PatiencePauses)});
+  return std::min(Left,
+                  std::chrono::duration_cast<milliseconds>(
+                      this->ReceivedAt + Longest - Now));
+}
+
+/// When the model will be loaded, by the holder's word.
+std::optional<std::chrono::milliseconds> Exchange::loadedIn() const {
+  auto At = this->Context.Board.loadedAt(this->Service, this->Facts.Model);
+  if (!At)
+    return std::nullopt;
+  return std::max(std::chrono::milliseconds(0),
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                      *At - this->now()));
+}
+
+/// How long a load takes that has not begun.
+std::chrono::milliseconds Exchange::loadTime() const {
+  const catalog::Service *Of = this->Catalog->service(this->Service);
+  bool Held = this->Context.Board.isModelHeld(this->query(), this->now());
+  if (Of == nullptr || !Of->Engine || Held)
+    return this->Context.Settings.LoadSlack;
+  auto Model = Of->Engine->Models.find(this->Facts.Model);
+  return Model == Of->Engine->Models.end()
+             ? this->Context.Settings.DefaultRetryAfter
+             : Model->second.StoreLoad;
+}
+
 std::chrono::milliseconds Exchange::expectedWait() const {
   auto Rate = this->Context.EndRates.find(this->Service);
   double PerSecond = Rate == this->Context.EndRates.end()
@@ -255,6 +304,12 @@
     this->refuse(Unavailable, "full", this->spread(this->expectedWait()));
     return;
   }
+  // A load that ends too late for this caller is known already.
+  if (auto Loaded = this->loadedIn();
+      For == Waits::ForItem && Loaded && *Loaded > Limit) {
+    this->refuse(Unavailable, "being-loaded", this->spread(*Loaded));
+    return;
+  }
   admission::QueueEntry Entry;
   Entry.Request = this->Number;
   Entry.Account =
@@ -296,7 +351,7 @@
     return;
   case Waits::ForItem:
     this->refuse(Unavailable, "not-loaded",
-                 this->spread(this->Context.Settings.DefaultRetryAfter));
+                 this->spread(this->loadedIn().value_or(this->loadTime())));
     return;
   case Waits::ForTarget:
     this->refuse(Unavailable, "no-target",
@@ -519,6 +574,8 @@
 
 bool Exchange::payForRepeat() {
   bool Paid = this->Context.Repeats.take(this->Service, this->now());
+  if (Paid && this->Runs > 0 && this->Account != nullptr)
+    this->Context.Usage.charge(*this->Account, this->amount());
   if (!Paid)
     this->log(base::LogLevel::Info, "repeat-refused",
               {{"service", this->Service.Value}});
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -63,6 +63,9 @@
   void dispatch();
   void enqueue(Waits For);
   std::chrono::milliseconds waitLimit(Waits For) const;
+  std::chrono::milliseconds patience() const;
+  std::optional<std::chrono::milliseconds> loadedIn() const;
+  std::chrono::milliseconds loadTime() const;
   std::chrono::milliseconds expectedWait() const;
   void leaveLine();
 
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -64,6 +64,11 @@
     this->pump();
   }
 
+  void setLoading(std::map<dispatch::ServiceModel, base::TimePoint> Loading)
+      override {
+    this->Context.Board.setLoading(std::move(Loading));
+  }
+
   void setGrant(const base::AccountId &Account, double Part,
                 base::TimePoint ValidUntil) override {
     this->Context.Usage.setGrant(Account, Part, ValidUntil);
@@ -87,6 +92,8 @@
     this->Wanted = std::move(NewWanted);
   }
 
+  void refuseNew() override { this->Context.RefusesNew = true; }
+
   std::size_t open() const override { return this->Context.Open; }
 
 private:
--- a/src/forwarding/internal/trafficcontext.h
+++ b/src/forwarding/internal/trafficcontext.h
@@ -51,6 +51,7 @@
       Use;
   std::uint64_t NextNumber = 1;
   std::size_t Open = 0;
+  bool RefusesNew = false;
 
   /// Set by the forwarder.
   std::function<void()> Pump;
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -83,7 +83,8 @@
   virtual void setLimits(const CallerLimits &Limits) = 0;
   /// From now on each answer ends its connection; new ones are accepted.
   virtual void endKeptConnections() = 0;
-  /// Stops accepting; open connections live on until their next answer.
+  /// Stops accepting and closes connections without a request; others live on
+  /// until their next answer.
   virtual void stopAccepting() = 0;
   /// Closes the listener and every open connection.
   virtual void close() = 0;
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -57,6 +57,9 @@
     // Closing a listener reports nothing that could be acted on.
     this->Listener.close(Ignored);
     this->Pause.cancel();
+    auto Open = this->Shared->Connections;
+    for (const auto &Each : Open)
+      Each->closeIfIdle();
   }
 
   void close() override {
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -190,6 +190,13 @@
     Answering->connectionClosed();
 }
 
+void ServerConnection::closeIfIdle() {
+  bool Idle = this->At == Phase::Reading && this->Backlog.empty() &&
+              !this->Parser.inMessage();
+  if (Idle)
+    this->close();
+}
+
 void ServerConnection::read() {
   if (this->ReadPending || this->At == Phase::Closed ||
       this->Backlog.size() > MaxBacklog)
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -43,6 +43,8 @@
   void start();
   /// Closes at once; an answer that is not complete is cut.
   void close();
+  /// Closes unless a request has begun to arrive or is being answered.
+  void closeIfIdle();
 
 private:
   enum class Phase {
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -69,7 +69,10 @@
 }
 
 void TrafficThread::stopAccepting() {
-  this->post([this] { this->Server->stopAccepting(); });
+  this->post([this] {
+    this->Forwarder->refuseNew();
+    this->Server->stopAccepting();
+  });
 }
 
 void TrafficThread::applyLimits(const catalog::RequestLimits &Limits) {
@@ -97,9 +100,13 @@
   this->post([this, Count] { this->Forwarder->setInstances(Count); });
 }
 
-void TrafficThread::setHeld(std::map<base::TargetId, dispatch::HeldState> Held,
-                            base::TimePoint Until) {
-  this->post([this, Held = std::move(Held), Until] {
+void TrafficThread::setHeld(
+    std::map<base::TargetId, dispatch::HeldState> Held,
+    std::map<dispatch::ServiceModel, base::TimePoint> Loading,
+    base::TimePoint Until) {
+  this->post([this, Held = std::move(Held), Loading = std::move(Loading),
+              Until] {
+    this->Forwarder->setLoading(Loading);
     this->Forwarder->setHeld(Held, Until);
   });
 }
--- a/src/instance/internal/trafficthread.h
+++ b/src/instance/internal/trafficthread.h
@@ -38,6 +38,7 @@
   void setTargets(catalog::TargetListPtr New) override;
   void setInstances(unsigned Count) override;
   void setHeld(std::map<base::TargetId, dispatch::HeldState> Held,
+               std::map<dispatch::ServiceModel, base::TimePoint> Loading,
                base::TimePoint Until) override;
   void setGrants(std::vector<dispatch::AccountGrant> Grants,
                  base::TimePoint ValidUntil) override;
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -22,7 +22,7 @@
   std::chrono::milliseconds Grace{8000};
   /// How long new connections are still taken: the balancer asks once a second
   /// and passes an instance over after two misses.
-  std::chrono::milliseconds AcceptFor{3300};
+  std::chrono::milliseconds AcceptFor{3000};
   /// What is kept back of the grace for the end itself.
   std::chrono::milliseconds Reserve{400};
 };
--- a/src/residency/enginebook.h
+++ b/src/residency/enginebook.h
@@ -64,11 +64,10 @@
 
   /// Engines whose report is due; each counts as asked from now on.
   std::vector<base::TargetId> takeDueReports(base::TimePoint Now);
-  /// \p AskedAt is when the report was asked for; without one, the engine did
-  /// not answer.
+  /// The answer to a report that was asked for; none if the engine did not
+  /// answer.
   void onReport(const base::TargetId &Id,
-                const std::optional<EngineReport> &Report,
-                base::TimePoint AskedAt, base::TimePoint Now);
+                const std::optional<EngineReport> &Report, base::TimePoint Now);
 
   /// Counts an order as sent and fills in its lifetime and revision; nothing
   /// if the engine takes none now.
@@ -80,11 +79,12 @@
   std::vector<Order> takeResends(FencingToken Token, base::TimePoint Now);
 
   std::vector<EngineView> views(base::TimePoint Now) const;
-  /// Raised whenever what heldBy() gives may have changed.
-  std::uint64_t revision() const { return this->Revision; }
   /// What may be routed to, by target.
   std::map<base::TargetId, std::pair<catalog::Lifetime, catalog::HeldModels>>
   held(base::TimePoint Now) const;
+  /// When each model that is being loaded will be there, by estimate.
+  std::map<std::pair<catalog::ServiceId, base::ModelId>, base::TimePoint>
+  loading(base::TimePoint Now) const;
   /// When the next adapter comes to be held; nothing if none is on its way.
   std::optional<base::TimePoint> nextChange(base::TimePoint Now) const;
   const catalog::Target *target(const base::TargetId &Id) const;
@@ -106,10 +106,11 @@
     catalog::Lifetime Lifetime;
     bool Reported = false;
     EngineReport State;
-    base::TimePoint ReportAskedAt;
+    base::TimePoint ReportDueAt;
     bool ReportPending = false;
     /// A model order that was accepted and whose end no report has shown.
     std::optional<Order> Running;
+    base::TimePoint RunningSince;
     std::optional<OpenOrder> Open;
     /// Adapters whose loads were accepted, and when they are there.
     std::map<Item, base::TimePoint> Arriving;
@@ -122,7 +123,9 @@
   double sizeOf(const catalog::Engine &Of, const Item &What) const;
   bool isUsable(const catalog::Target &Of) const;
   void accept(Engine &Of, const Order &Sent, base::TimePoint Now);
-  void adopt(Engine &Of, const EngineReport &Report);
+  void forgetState(Engine &Of, base::TimePoint Now);
+  void adopt(Engine &Of, const EngineReport &Report, base::TimePoint Now);
+  static void settleArrivals(Engine &Of, base::TimePoint Now);
   EngineView view(const base::TargetId &Id, const Engine &Of,
                   const catalog::Target &Listed, base::TimePoint Now) const;
 
@@ -130,7 +133,6 @@
   catalog::CatalogPtr Catalog;
   catalog::TargetListPtr Targets;
   std::map<base::TargetId, Engine> Engines;
-  std::uint64_t Revision = 1;
 };
 
 } // namespace kingcuphub::residency
--- a/src/residency/holder.h
+++ b/src/residency/holder.h
@@ -50,8 +50,7 @@
   void onUse(const base::InstanceId &From, const std::vector<ItemUse> &Use,
              base::TimePoint Now);
   void onReport(const base::TargetId &Id,
-                const std::optional<EngineReport> &Report,
-                base::TimePoint AskedAt, base::TimePoint Now);
+                const std::optional<EngineReport> &Report, base::TimePoint Now);
   void onAnswer(const Order &Sent, OrderAnswer Answer, base::TimePoint Now);
   std::vector<HolderCommand> tick(base::TimePoint Now);
 
--- a/src/residency/internal/enginebook.cpp
+++ b/src/residency/internal/enginebook.cpp
@@ -82,7 +82,6 @@
                             Of.Open->What.ExpectedRevision,
                             Now + this->Settings.LateOrders});
     Of = std::move(Fresh);
-    ++this->Revision;
   }
 }
 
@@ -92,59 +91,67 @@
     Fresh.Lifetime = Each.Lifetime;
     Each = std::move(Fresh);
   }
-  ++this->Revision;
 }
 
 std::vector<base::TargetId> EngineBook::takeDueReports(base::TimePoint Now) {
   std::vector<base::TargetId> Due;
   for (auto &[Id, Each] : this->Engines) {
-    bool Eager = !Each.Reported || Each.Running || Each.Open;
-    base::Duration Every =
-        Eager ? this->Settings.ReportWhileBusy : this->Settings.ReportEvery;
-    if (Each.ReportPending || Now < Each.ReportAskedAt + Every)
+    settleArrivals(Each, Now);
+    if (Each.ReportPending || Now < Each.ReportDueAt)
       continue;
     Each.ReportPending = true;
-    Each.ReportAskedAt = Now;
     Due.push_back(Id);
   }
   return Due;
 }
 
-void EngineBook::adopt(Engine &Of, const EngineReport &Report) {
+/// Adapters that are there by now are held, until a report says otherwise.
+void EngineBook::settleArrivals(Engine &Of, base::TimePoint Now) {
+  for (auto Each = Of.Arriving.begin(); Each != Of.Arriving.end();) {
+    if (Each->second > Now) {
+      ++Each;
+      continue;
+    }
+    addItem(Of.State.Models, Each->first);
+    Each = Of.Arriving.erase(Each);
+  }
+}
+
+void EngineBook::adopt(Engine &Of, const EngineReport &Report,
+                       base::TimePoint Now) {
   Of.State = Report;
   Of.Reported = true;
   for (auto Each = Of.Arriving.begin(); Each != Of.Arriving.end();) {
     bool Fetching = Report.Fetching.count(Each->first) != 0;
     Each = Fetching ? std::next(Each) : Of.Arriving.erase(Each);
   }
+  // What takes longer than expected is looked at again soon.
+  for (const Item &Each : Report.Fetching)
+    Of.Arriving.try_emplace(Each, Now + this->Settings.AdapterLoad);
   if (Of.Running && !Report.Busy)
     Of.Running.reset();
 }
 
 void EngineBook::onReport(const base::TargetId &Id,
                           const std::optional<EngineReport> &Report,
-                          base::TimePoint AskedAt, base::TimePoint Now) {
+                          base::TimePoint Now) {
   auto Found = this->Engines.find(Id);
   if (Found == this->Engines.end())
     return;
   Engine &Of = Found->second;
-  if (Of.ReportAskedAt == AskedAt)
-    Of.ReportPending = false;
+  Of.ReportPending = false;
   // A report of fewer orders is older than what is known already.
-  if (!Report || (Of.Reported && Report->Revision < Of.State.Revision))
-    return;
-  bool Moved = Of.Open && Report->Revision > Of.Open->What.ExpectedRevision;
-  // Every copy of the open order but one expects a revision that has passed.
-  if (Moved && !Of.Open->InFlight)
-    Of.Open.reset();
-  catalog::HeldModels Before = Of.State.Models;
-  bool First = !Of.Reported;
-  this->adopt(Of, *Report);
-  for (const auto &[What, ReadyAt] : Of.Arriving)
-    if (ReadyAt <= Now)
-      addItem(Of.State.Models, What);
-  if (First || Before != Of.State.Models)
-    ++this->Revision;
+  bool Old = Report && Of.Reported && Report->Revision < Of.State.Revision;
+  if (Report && !Old) {
+    bool Moved = Of.Open && Report->Revision > Of.Open->What.ExpectedRevision;
+    // Every copy of the open order but one expects a revision that has passed.
+    if (Moved && !Of.Open->InFlight)
+      Of.Open.reset();
+    this->adopt(Of, *Report, Now);
+  }
+  bool Eager = !Of.Reported || Of.Running || Of.Open || Of.State.Busy;
+  Of.ReportDueAt = Now + (Eager ? this->Settings.ReportWhileBusy
+                                : this->Settings.ReportEvery);
 }
 
 std::optional<Order> EngineBook::begin(const base::TargetId &Id, OrderKind Kind,
@@ -158,8 +165,6 @@
     return std::nullopt;
   Order New{Id, Of.Lifetime, Kind, What, Of.State.Revision, Token};
   Of.Open = OpenOrder{New, Now, true};
-  if (Kind == OrderKind::Unload)
-    ++this->Revision;
   return New;
 }
 
@@ -172,10 +177,18 @@
     auto Ahead = static_cast<int>(Of.Arriving.size());
     Of.Arriving[Sent.What] = Now + this->Settings.AdapterLoad * (Ahead + 1);
   }
-  if (!Sent.What.isAdapter())
+  if (!Sent.What.isAdapter()) {
     Of.Running = Sent;
+    Of.RunningSince = Now;
+  }
   // The end of the order is looked for from now on.
-  Of.ReportAskedAt = Now;
+  Of.ReportDueAt = Now + this->Settings.ReportWhileBusy;
+}
+
+/// What the engine holds is asked for before it is given another order.
+void EngineBook::forgetState(Engine &Of, base::TimePoint Now) {
+  Of.Reported = false;
+  Of.ReportDueAt = Now;
 }
 
 void EngineBook::onAnswer(const Order &Sent, OrderAnswer Answer,
@@ -188,7 +201,6 @@
                 Of.Open->What.ExpectedRevision == Sent.ExpectedRevision;
   if (!IsOpen)
     return;
-  ++this->Revision;
   if (Answer == OrderAnswer::Unknown) {
     Of.Open->InFlight = false;
     Of.Open->SentAt = Now;
@@ -215,10 +227,10 @@
     return;
   case OrderAnswer::Invalid:
     Of.Refused[Sent.What] = Now + this->Settings.RefusedFor;
-    Of.Reported = false;
+    this->forgetState(Of, Now);
     return;
   default:
-    Of.Reported = false;
+    this->forgetState(Of, Now);
     return;
   }
 }
@@ -310,6 +322,34 @@
   return Out;
 }
 
+std::map<std::pair<catalog::ServiceId, base::ModelId>, base::TimePoint>
+EngineBook::loading(base::TimePoint Now) const {
+  std::map<std::pair<catalog::ServiceId, base::ModelId>, base::TimePoint> Out;
+  for (const auto &[Id, Each] : this->Engines) {
+    const catalog::Target *Listed = this->target(Id);
+    if (!Each.Running || Each.Running->Kind != OrderKind::Load ||
+        Listed == nullptr)
+      continue;
+    const base::ModelId &Model = Each.Running->What.Model;
+    const catalog::Engine *Kind = this->engineOf(Listed->Entry.Service);
+    auto Known = Kind == nullptr ? decltype(Kind->Models.end())()
+                                 : Kind->Models.find(Model);
+    if (Kind == nullptr || Known == Kind->Models.end())
+      continue;
+    bool Cached = Each.State.CachedWeights.count(Model) != 0;
+    auto Takes = Cached ? Known->second.DiskLoad : Known->second.StoreLoad;
+    // One that takes longer than it should is expected at any moment.
+    base::TimePoint At =
+        std::max(Each.RunningSince + Takes,
+                 Now + std::chrono::duration_cast<base::Duration>(
+                           this->Settings.ReportWhileBusy));
+    auto [Entry, New] = Out.try_emplace({Listed->Entry.Service, Model}, At);
+    if (!New)
+      Entry->second = std::min(Entry->second, At);
+  }
+  return Out;
+}
+
 std::optional<base::TimePoint>
 EngineBook::nextChange(base::TimePoint Now) const {
   std::optional<base::TimePoint> First;
--- a/src/residency/internal/holder.cpp
+++ b/src/residency/internal/holder.cpp
@@ -33,8 +33,8 @@
 
 void Holder::onReport(const base::TargetId &Id,
                       const std::optional<EngineReport> &Report,
-                      base::TimePoint AskedAt, base::TimePoint Now) {
-  this->Engines.onReport(Id, Report, AskedAt, Now);
+                      base::TimePoint Now) {
+  this->Engines.onReport(Id, Report, Now);
 }
 
 void Holder::onAnswer(const Order &Sent, OrderAnswer Answer,
