--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -166,6 +166,8 @@
   void onLease(const std::optional<residency::LeaseRecord> &Record,
                residency::LeaseEnd End) {
     this->Lease.onRead(Record, End, this->Clock.now());
+    if (Record)
+      this->Holding.onRecord(*Record);
     this->followHolder();
     this->Holding.checkLease();
   }
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -61,8 +61,11 @@
   this->Clients.clear();
   this->Published.clear();
   this->Shares.start(Now);
-  if (const auto &Record = this->Lease.record())
-    this->InheritedInstances = Record->Instances;
+}
+
+void HolderSide::onRecord(const residency::LeaseRecord &Record) {
+  if (Record.Holder != this->Settings.Self)
+    this->InheritedInstances = Record.Instances;
 }
 
 unsigned HolderSide::instances() const {
--- a/src/control/internal/holderside.h
+++ b/src/control/internal/holderside.h
@@ -25,6 +25,9 @@
   void setTargets(const catalog::TargetListPtr &New);
   /// Follows the lease; to be called whenever it may have changed.
   void checkLease();
+  /// Takes the lease's record, of which a new holder inherits the number of
+  /// instances.
+  void onRecord(const residency::LeaseRecord &Record);
   void tick();
   /// The instances that limits are split over; 0 while it is not known.
   unsigned instances() const;
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -633,6 +633,7 @@
 
 void Exchange::afterPassed() {
   this->Target.reset();
+  ++this->Runs;
   this->Answer->write(this->Events.rest());
   this->Answer->finish();
   this->end("answered", this->Head.Status, "");
