Accounts' tokens in one pool at the holder, asked for as needed

Load pattern: an account with a small burst whose callers are spread over all instances, and one that sends many times its rate. Change: UsagePool at the holder, UsageAdmission at each instance (CreditBook and RateWait, as in the product's agent); half of the limit is for instances that the holder does not hear of.

--- a/src/admission/creditbook.h
+++ b/src/admission/creditbook.h
@@ -102,6 +102,8 @@
 
 /// The quantity that an account's tokens are counted under.
 base::QuantityId accountTokens(const base::AccountId &Account);
+/// The account whose tokens the quantity counts; empty for other quantities.
+base::AccountId accountOfTokens(const base::QuantityId &Quantity);
 /// The quantity of requests that a cold target may have in flight.
 base::QuantityId coldSlots(const base::TargetId &Target);
 
--- a/src/admission/internal/creditbook.cpp
+++ b/src/admission/internal/creditbook.cpp
@@ -4,6 +4,13 @@
 
 namespace kingcuphub::admission {
 
+namespace {
+
+constexpr const char *TokensPrefix = "account/";
+constexpr const char *TokensSuffix = "/tokens";
+
+} // namespace
+
 bool CreditBook::take(const base::QuantityId &Quantity, std::int64_t Amount,
                       base::TimePoint Now) {
   Holding &Each = this->Holdings[Quantity];
@@ -96,7 +103,21 @@
 }
 
 base::QuantityId accountTokens(const base::AccountId &Account) {
-  return {"account/" + Account.Value + "/tokens"};
+  return {TokensPrefix + Account.Value + TokensSuffix};
+}
+
+base::AccountId accountOfTokens(const base::QuantityId &Quantity) {
+  const std::string Prefix = TokensPrefix;
+  const std::string Suffix = TokensSuffix;
+  const std::string &Name = Quantity.Value;
+  bool Counts =
+      Name.size() > Prefix.size() + Suffix.size() &&
+      Name.compare(0, Prefix.size(), Prefix) == 0 &&
+      Name.compare(Name.size() - Suffix.size(), Suffix.size(), Suffix) == 0;
+  if (!Counts)
+    return {};
+  return {
+      Name.substr(Prefix.size(), Name.size() - Prefix.size() - Suffix.size())};
 }
 
 base::QuantityId coldSlots(const base::TargetId &Target) {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -11,7 +11,7 @@
 #include "catalog/targettable.h"
 #include "control/controlstore.h"
 #include "control/trafficport.h"
-#include "dispatch/usageshares.h"
+#include "dispatch/usagepool.h"
 #include "messaging/messaging.h"
 #include "metrics/registry.h"
 #include "residency/holder.h"
@@ -31,7 +31,7 @@
   std::string LinkEndpoint;
   residency::HolderLeaseSettings Lease;
   residency::HolderSettings Holder;
-  dispatch::UsageSharesSettings Shares;
+  dispatch::UsagePoolSettings Usage;
   catalog::TargetTableSettings Targets;
   /// How often demand is told to the holder: often enough to follow a shift of
   /// demand within a second.
@@ -45,6 +45,8 @@
   /// An instance that was not heard for this long no longer counts where
   /// limits are split.
   std::chrono::milliseconds InstanceFor{60000};
+  /// An instance that was not heard for this long may be on its own.
+  std::chrono::milliseconds SilentAfter{1000};
   /// A new holder takes this long to hear of all instances.
   std::chrono::milliseconds CountAfter{2000};
   /// A tick that comes this much late means that the process was stopped.
@@ -57,6 +59,9 @@
   virtual void start() = 0;
   /// The traffic side has a request that waits for a model or adapter.
   virtual void onWanted() = 0;
+  /// The traffic side asks for credit, or gives some back.
+  virtual void
+  onCredit(const std::vector<admission::CreditCommand> &Commands) = 0;
   /// Whether catalog and targets have been read.
   virtual bool ready() const = 0;
   /// \p Ready is called once they have.
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -75,6 +75,15 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(Wait));
   }
 
+  void
+  onCredit(const std::vector<admission::CreditCommand> &Commands) override {
+    if (!this->Link)
+      return;
+    wire::InstanceReport Out = this->newReport();
+    writeCredits(Commands, Out);
+    this->Link->send(Out.SerializeAsString());
+  }
+
   bool ready() const override {
     return this->HasTargets && this->Catalog != nullptr;
   }
@@ -288,17 +297,19 @@
   void sendReport(const forwarding::TrafficUse &Use) {
     if (!this->Link)
       return;
+    wire::InstanceReport Out = this->newReport();
+    writeUse(Use, Out);
+    this->Link->send(Out.SerializeAsString());
+  }
+
+  wire::InstanceReport newReport() {
     wire::InstanceReport Out;
     Out.set_instance(this->Settings.Self.Value);
     Out.set_incarnation(this->Settings.Incarnation.Value);
     Out.set_number(++this->ReportNumber);
     Out.set_held_revision(this->HeldRevision);
     Out.set_held_token(this->HeldToken);
-    writeUse(Use, Out);
-    this->Asked[this->ReportNumber] = this->Clock.now();
-    while (this->Asked.size() > MaxAsked)
-      this->Asked.erase(this->Asked.begin());
-    this->Link->send(Out.SerializeAsString());
+    return Out;
   }
 
   void onReply(std::string_view Bytes) {
@@ -320,17 +331,9 @@
                           Now + this->Settings.HeldFor);
     if (Reply.instances() > 0)
       this->Traffic.setInstances(Reply.instances());
-    auto AskedAt = this->Asked.find(Reply.number());
-    if (AskedAt == this->Asked.end())
-      return;
-    this->Traffic.setGrants(readGrants(Reply),
-                            AskedAt->second + this->Settings.Shares.GrantLasts);
-    this->Asked.erase(this->Asked.begin(), std::next(AskedAt));
+    this->Traffic.onCredits(readGrants(Reply));
   }
 
-  /// Reports whose answers are still waited for.
-  static constexpr std::size_t MaxAsked = 64;
-
   ControlSettings Settings;
   ControlStore &Store;
   messaging::Messaging &Messages;
@@ -355,7 +358,6 @@
   std::unique_ptr<messaging::MessageClient> Link;
   std::string HolderEndpoint;
   std::uint64_t ReportNumber = 0;
-  std::map<std::uint64_t, base::TimePoint> Asked;
   std::uint64_t HeldToken = 0;
   std::uint64_t HeldRevision = 0;
   std::map<base::TargetId, dispatch::HeldState> Held;
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -21,7 +21,7 @@
                        EngineClient &Engines, residency::HolderLease &Lease,
                        const base::Clock &Clock, metrics::Registry &Metrics)
     : Settings(Settings), Engines(Engines), Lease(Lease), Clock(Clock),
-      Metrics(Metrics), Holder(Settings.Holder), Shares(Settings.Shares),
+      Metrics(Metrics), Holder(Settings.Holder), Usage(Settings.Usage),
       PublishTimer(Loop) {}
 
 base::Result<void> HolderSide::listen(messaging::Messaging &Messages) {
@@ -37,6 +37,7 @@
 }
 
 void HolderSide::setCatalog(const catalog::CatalogPtr &New) {
+  this->Catalog = New;
   this->Holder.setCatalog(New);
 }
 
@@ -60,7 +61,7 @@
   this->Instances.clear();
   this->Clients.clear();
   this->Published.clear();
-  this->Shares.start(Now);
+  this->Usage.start(Now);
 }
 
 void HolderSide::onRecord(const residency::LeaseRecord &Record) {
@@ -107,15 +108,56 @@
   if (!Has)
     writeHeld(this->Published, Reply);
   writeLoading(this->Holder.engines().loading(Now), Now, Reply);
-  writeGrants(this->Shares.onUse(Instance, readAccounts(Report), Now), Reply);
+  this->answerCredits(Report, Reply);
   this->Server->send(From, Reply.SerializeAsString());
-  this->tick();
+  bool Waited =
+      std::any_of(Report.items().begin(), Report.items().end(),
+                  [](const wire::ItemUse &Each) { return Each.waiting() > 0; });
+  if (Waited)
+    this->tick();
+}
+
+void HolderSide::answerCredits(const wire::InstanceReport &Report,
+                               wire::HolderReply &To) {
+  if (!this->Catalog)
+    return;
+  base::TimePoint Now = this->Clock.now();
+  auto Find = [this](const std::string &Name) {
+    auto Found = this->Catalog->Accounts.find({Name});
+    return Found == this->Catalog->Accounts.end() ? nullptr : &Found->second;
+  };
+  for (const wire::TokenReturn &Each : Report.token_returns())
+    if (const catalog::Account *Account = Find(Each.account()))
+      this->Usage.onReturn(*Account, Each.amount(), Now);
+  for (const wire::TokenAsk &Each : Report.token_asks()) {
+    const catalog::Account *Account = Find(Each.account());
+    if (Account == nullptr)
+      continue;
+    dispatch::CreditGrant Grant =
+        this->Usage.onAsk(*Account, Each.amount(), Now);
+    wire::TokenGrant &Out = *To.add_grants();
+    Out.set_account(Each.account());
+    Out.set_amount(Grant.Amount);
+    Out.set_request(Each.request());
+    Out.set_retry_after_ms(
+        static_cast<std::uint32_t>(Grant.RetryAfter.count()));
+  }
+}
+
+void HolderSide::countSilent(base::TimePoint Now) {
+  unsigned Whole = this->instances();
+  auto Heard = static_cast<unsigned>(std::count_if(
+      this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
+        return Now < Each.second.At + this->Settings.SilentAfter;
+      }));
+  this->Usage.setInstances(Whole, Whole - std::min(Whole, Heard));
 }
 
 void HolderSide::tick() {
   this->checkLease();
   if (!this->Token)
     return;
+  this->countSilent(this->Clock.now());
   for (const residency::HolderCommand &Each :
        this->Holder.tick(this->Clock.now()))
     this->carryOut(Each);
--- a/src/control/internal/holderside.h
+++ b/src/control/internal/holderside.h
@@ -38,6 +38,8 @@
   };
 
   void onReport(const messaging::ClientName &From, std::string_view Bytes);
+  void answerCredits(const wire::InstanceReport &Report, wire::HolderReply &To);
+  void countSilent(base::TimePoint Now);
   void publish();
   void publishLater();
   void carryOut(const residency::HolderCommand &Command);
@@ -51,7 +53,8 @@
   metrics::Registry &Metrics;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   residency::Holder Holder;
-  dispatch::UsageShares Shares;
+  dispatch::UsagePool Usage;
+  catalog::CatalogPtr Catalog;
   std::unique_ptr<messaging::MessageServer> Server;
   std::optional<residency::FencingToken> Token;
   base::TimePoint HeldSince;
--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -1,5 +1,7 @@
 #include "linkmessages.h"
 
+#include "base/visitor.h"
+
 #include <algorithm>
 
 namespace kingcuphub::control {
@@ -14,12 +16,6 @@
     Out.set_arrived(Each.Arrived);
     Out.set_waiting(Each.Waiting);
   }
-  for (const dispatch::AccountUse &Each : Use.Accounts) {
-    wire::AccountUse &Out = *To.add_accounts();
-    Out.set_account(Each.Account.Value);
-    Out.set_asked(Each.Asked);
-    Out.set_granted_part(Each.GrantedPart);
-  }
 }
 
 std::vector<residency::ItemUse> readItems(const wire::InstanceReport &From) {
@@ -33,12 +29,26 @@
   return Out;
 }
 
-std::vector<dispatch::AccountUse>
-readAccounts(const wire::InstanceReport &From) {
-  std::vector<dispatch::AccountUse> Out;
-  for (const wire::AccountUse &Each : From.accounts())
-    Out.push_back({{Each.account()}, Each.asked(), Each.granted_part()});
-  return Out;
+/// The account of a quantity's name.
+std::string accountOf(const base::QuantityId &Quantity) {
+  return admission::accountOfTokens(Quantity).Value;
+}
+
+void writeCredits(const std::vector<admission::CreditCommand> &Commands,
+                  wire::InstanceReport &To) {
+  for (const admission::CreditCommand &Each : Commands)
+    std::visit(base::Visitor{[&To](const admission::AskCredit &Ask) {
+                               wire::TokenAsk &Out = *To.add_token_asks();
+                               Out.set_account(accountOf(Ask.Quantity));
+                               Out.set_amount(Ask.Amount);
+                               Out.set_request(Ask.Request);
+                             },
+                             [&To](const admission::ReturnCredit &Return) {
+                               wire::TokenReturn &Out = *To.add_token_returns();
+                               Out.set_account(accountOf(Return.Quantity));
+                               Out.set_amount(Return.Amount);
+                             }},
+               Each);
 }
 
 void writeHeld(const HeldTargets &Held, wire::HolderReply &To) {
@@ -78,8 +88,8 @@
     Out.set_service(Key.first.Value);
     Out.set_model(Key.second.Value);
     auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(At - Now);
-    Out.set_ready_in_ms(static_cast<std::uint32_t>(
-        std::max<std::int64_t>(0, Left.count())));
+    Out.set_ready_in_ms(
+        static_cast<std::uint32_t>(std::max<std::int64_t>(0, Left.count())));
   }
 }
 
@@ -91,19 +101,13 @@
   return Out;
 }
 
-void writeGrants(const std::vector<dispatch::AccountGrant> &Grants,
-                 wire::HolderReply &To) {
-  for (const dispatch::AccountGrant &Each : Grants) {
-    wire::AccountGrant &Out = *To.add_grants();
-    Out.set_account(Each.Account.Value);
-    Out.set_part(Each.Part);
-  }
-}
-
-std::vector<dispatch::AccountGrant> readGrants(const wire::HolderReply &From) {
-  std::vector<dispatch::AccountGrant> Out;
-  for (const wire::AccountGrant &Each : From.grants())
-    Out.push_back({{Each.account()}, Each.part()});
+std::vector<forwarding::CreditNews> readGrants(const wire::HolderReply &From) {
+  std::vector<forwarding::CreditNews> Out;
+  for (const wire::TokenGrant &Each : From.grants())
+    Out.push_back(
+        {{Each.account()},
+         {Each.amount(), std::chrono::milliseconds(Each.retry_after_ms())},
+         Each.request()});
   return Out;
 }
 
--- a/src/control/internal/linkmessages.h
+++ b/src/control/internal/linkmessages.h
@@ -5,7 +5,6 @@
 /// The messages between instances and the holder, to and from the product's
 /// types.
 
-#include "dispatch/usageshares.h"
 #include "forwarding/forwarder.h"
 
 #include <fleet.pb.h>
@@ -19,8 +18,8 @@
 
 void writeUse(const forwarding::TrafficUse &Use, wire::InstanceReport &To);
 std::vector<residency::ItemUse> readItems(const wire::InstanceReport &From);
-std::vector<dispatch::AccountUse>
-readAccounts(const wire::InstanceReport &From);
+void writeCredits(const std::vector<admission::CreditCommand> &Commands,
+                  wire::InstanceReport &To);
 
 void writeHeld(const HeldTargets &Held, wire::HolderReply &To);
 std::map<base::TargetId, dispatch::HeldState>
@@ -32,9 +31,7 @@
                   wire::HolderReply &To);
 LoadingModels readLoading(const wire::HolderReply &From, base::TimePoint Now);
 
-void writeGrants(const std::vector<dispatch::AccountGrant> &Grants,
-                 wire::HolderReply &To);
-std::vector<dispatch::AccountGrant> readGrants(const wire::HolderReply &From);
+std::vector<forwarding::CreditNews> readGrants(const wire::HolderReply &From);
 
 } // namespace kingcuphub::control
 
--- a/src/control/trafficport.h
+++ b/src/control/trafficport.h
@@ -5,7 +5,6 @@
 /// The way between the control thread and the traffic thread of an instance.
 /// What is handed over is immutable or moved.
 
-#include "dispatch/usageshares.h"
 #include "forwarding/forwarder.h"
 
 #include <functional>
@@ -23,8 +22,7 @@
   setHeld(std::map<base::TargetId, dispatch::HeldState> Held,
           std::map<dispatch::ServiceModel, base::TimePoint> Loading,
           base::TimePoint Until) = 0;
-  virtual void setGrants(std::vector<dispatch::AccountGrant> Grants,
-                         base::TimePoint ValidUntil) = 0;
+  virtual void onCredits(std::vector<forwarding::CreditNews> News) = 0;
   /// Asks for what was counted; \p Done is called on the control thread.
   virtual void takeUse(std::function<void(forwarding::TrafficUse)> Done) = 0;
 };
--- /dev/null
+++ b/src/dispatch/internal/usageadmission.cpp
@@ -0,0 +1,104 @@
+#include "dispatch/usageadmission.h"
+
+#include "base/visitor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcuphub::dispatch {
+
+namespace {
+
+/// What an instance on its own tells callers: by then it is in touch again, or
+/// the balancer takes them elsewhere.
+constexpr std::chrono::milliseconds RetryWhenAlone{1000};
+
+state::Account lineAccount(const catalog::Account &From) {
+  state::Account Out;
+  Out.Id = From.Id;
+  Out.Rate.PerSecond = From.RatePerSecond;
+  Out.Burst = base::Tokens{static_cast<std::int64_t>(From.Burst)};
+  return Out;
+}
+
+} // namespace
+
+bool UsageAdmission::isAlone(base::TimePoint Now) const {
+  return Now > this->ContactAt + this->Settings.AloneAfter;
+}
+
+bool UsageAdmission::takeAlone(const catalog::Account &Account,
+                               std::int64_t Amount, base::TimePoint Now) {
+  double Part = AlonePart / std::max(1U, this->Instances);
+  double Capacity = Part * Account.Burst;
+  Alone &Of = this->Own[Account.Id];
+  double Passed = std::chrono::duration<double>(Now - Of.At).count();
+  Of.Level = Of.Started ? std::min(Of.Level + Part * Account.RatePerSecond *
+                                                  std::max(0.0, Passed),
+                                   Capacity)
+                        : Capacity;
+  Of.Started = true;
+  Of.At = Now;
+  // A request above the whole part leaves a debt, or it could never run.
+  double Needed = std::min(static_cast<double>(Amount), Capacity);
+  if (Of.Level < Needed)
+    return false;
+  Of.Level -= static_cast<double>(Amount);
+  return true;
+}
+
+void UsageAdmission::add(const catalog::Account &Account,
+                         admission::TokenWait Wait, base::TimePoint Now) {
+  // More than the burst is never at hand at once.
+  auto Burst = static_cast<std::int64_t>(Account.Burst);
+  Wait.Cost =
+      base::Tokens{std::min(Wait.Cost.Value, std::max<std::int64_t>(1, Burst))};
+  bool AtHand =
+      this->Book.held(admission::accountTokens(Account.Id)) >= Wait.Cost.Value;
+  if (!this->isAlone(Now) || AtHand) {
+    this->Line.add(lineAccount(Account), std::move(Wait), Now);
+    return;
+  }
+  if (this->takeAlone(Account, Wait.Cost.Value, Now))
+    this->Decided.emplace_back(admission::TokensTaken{Wait.Request});
+  else
+    this->Decided.emplace_back(
+        admission::TokensRefused{Wait.Request, RetryWhenAlone});
+}
+
+void UsageAdmission::remove(const base::RequestId &Request) {
+  this->Line.remove(Request);
+}
+
+void UsageAdmission::charge(const catalog::Account &Account,
+                            std::int64_t Amount) {
+  this->Book.putBack(admission::accountTokens(Account.Id), -Amount);
+}
+
+void UsageAdmission::putBack(const catalog::Account &Account,
+                             std::int64_t Amount) {
+  auto Burst = static_cast<std::int64_t>(Account.Burst);
+  this->Book.putBack(admission::accountTokens(Account.Id),
+                     std::min(Amount, Burst));
+}
+
+void UsageAdmission::onCredit(const base::AccountId &Account,
+                              const CreditGrant &Grant, std::uint64_t Request,
+                              base::TimePoint Now) {
+  this->Book.credited(admission::accountTokens(Account), Grant.Amount, Request,
+                      Grant.RetryAfter, Now);
+}
+
+std::vector<admission::TokenOutcome> UsageAdmission::tick(base::TimePoint Now) {
+  std::vector<admission::TokenOutcome> Out = std::exchange(this->Decided, {});
+  for (admission::TokenOutcome &Each : this->Line.tick(Now))
+    Out.push_back(std::move(Each));
+  return Out;
+}
+
+std::vector<admission::CreditCommand>
+UsageAdmission::takeCommands(base::TimePoint Now) {
+  return this->Book.tick(Now);
+}
+
+} // namespace kingcuphub::dispatch
--- a/src/dispatch/tests/usagetest.cpp
+++ b/src/dispatch/tests/usagetest.cpp
@@ -1,5 +1,6 @@
-#include "dispatch/usageshares.h"
+#include "dispatch/usageadmission.h"
 
+#include <array>
 #include <deque>
 #include <gtest/gtest.h>
 #include <random>
@@ -12,39 +13,39 @@
 namespace {
 
 constexpr milliseconds Step{25};
-constexpr milliseconds ReportEvery{250};
 constexpr milliseconds WindowLength{8000};
 constexpr double Rate = 80000;
 constexpr double Burst = 80000;
 constexpr std::size_t InstanceCount = 8;
 
-/// Instances with their limits, one holder of the shares at a time, and a
-/// network that can be cut for some of them.
+/// Instances with their side of the limit, one holder of the pool at a time,
+/// and a network with delays that can be cut for some of them.
 class Fleet {
 public:
   explicit Fleet(std::uint64_t Seed) : Random(Seed) {
     this->Account.Id = {"account"};
     this->Account.RatePerSecond = Rate;
     this->Account.Burst = Burst;
-    this->Shares.start(this->Now);
+    this->Pool.start(this->Now);
     for (Member &Each : this->Members)
-      Each.Limit.setInstances(InstanceCount);
+      Each.Side.setInstances(InstanceCount);
   }
 
-  /// Every instance is asked for \p Factor times its even part of the rate,
-  /// some for far more.
+  /// Requests for \p Factor times the rate arrive, at some instances far more
+  /// than at others.
   void run(milliseconds Time, double Factor) {
     for (milliseconds Passed{0}; Passed < Time; Passed += Step) {
       this->Now += Step;
       if (Passed % milliseconds(3000) == milliseconds(0))
         this->drawWeights();
+      this->deliver();
+      this->countSilent();
       for (std::size_t Index = 0; Index < InstanceCount; ++Index)
         this->serve(Index, Factor);
-      this->deliver();
     }
   }
 
-  void changeHolder() { this->Shares.start(this->Now); }
+  void changeHolder() { this->Pool.start(this->Now); }
   void cut(std::size_t Index, bool Cut) { this->Members[Index].Cut = Cut; }
   double admittedPerSecond() const {
     double Sum = 0;
@@ -56,16 +57,17 @@
 
 private:
   struct Member {
-    UsageLimit Limit;
-    base::TimePoint ReportedAt;
+    UsageAdmission Side{UsageAdmissionSettings{}};
+    base::TimePoint HeardAt;
     double Weight = 1;
+    double Unsent = 0;
     bool Cut = false;
   };
   struct Reply {
     base::TimePoint At;
     std::size_t To = 0;
-    std::vector<AccountGrant> Grants;
-    base::TimePoint ValidUntil;
+    std::optional<CreditGrant> Grant;
+    std::uint64_t Request = 0;
   };
 
   void drawWeights() {
@@ -76,24 +78,42 @@
 
   void serve(std::size_t Index, double Factor) {
     Member &Of = this->Members[Index];
-    double Wanted = Rate * Factor * Of.Weight / InstanceCount *
-                    std::chrono::duration<double>(Step).count();
-    constexpr double RequestSize = 900;
-    for (Of.Limit.setInstances(InstanceCount); Wanted > 0;
-         Wanted -= RequestSize)
-      if (!Of.Limit.take(this->Account, RequestSize, this->Now))
+    Of.Unsent += Rate * Factor * Of.Weight / 2 / InstanceCount *
+                 std::chrono::duration<double>(Step).count();
+    for (; Of.Unsent >= RequestSize; Of.Unsent -= RequestSize) {
+      admission::TokenWait Wait;
+      Wait.Request = {std::to_string(++this->Requests)};
+      Wait.Account = this->Account.Id;
+      Wait.Cost = base::Tokens{static_cast<std::int64_t>(RequestSize)};
+      Wait.StartBy = this->Now + milliseconds(300);
+      Of.Side.add(this->Account, Wait, this->Now);
+    }
+    for (const admission::TokenOutcome &Each : Of.Side.tick(this->Now))
+      if (std::holds_alternative<admission::TokensTaken>(Each))
         this->admit(RequestSize);
-    if (this->Now < Of.ReportedAt + ReportEvery)
-      return;
-    Of.ReportedAt = this->Now;
-    auto Use = Of.Limit.takeUse(this->Now);
-    if (Of.Cut)
-      return;
-    std::uniform_int_distribution<int> Delay(1, 200);
+    for (const admission::CreditCommand &Each : Of.Side.takeCommands(this->Now))
+      if (!Of.Cut)
+        this->toHolder(Index, Each);
+    // The holder answers the regular reports too.
+    if (!Of.Cut)
+      this->reply(Index, std::nullopt, 0);
+  }
+
+  void toHolder(std::size_t Index, const admission::CreditCommand &What) {
+    if (auto *Ask = std::get_if<admission::AskCredit>(&What))
+      this->reply(Index,
+                  this->Pool.onAsk(this->Account, Ask->Amount, this->Now),
+                  Ask->Request);
+    if (auto *Return = std::get_if<admission::ReturnCredit>(&What))
+      this->Pool.onReturn(this->Account, Return->Amount, this->Now);
+  }
+
+  void reply(std::size_t Index, std::optional<CreditGrant> Grant,
+             std::uint64_t Request) {
+    this->Members[Index].HeardAt = this->Now;
+    std::uniform_int_distribution<int> Delay(1, 60);
     this->Replies.push_back(
-        {this->Now + milliseconds(Delay(this->Random)), Index,
-         this->Shares.onUse({std::to_string(Index)}, Use, this->Now),
-         this->Now + UsageSharesSettings{}.GrantLasts});
+        {this->Now + milliseconds(Delay(this->Random)), Index, Grant, Request});
   }
 
   void deliver() {
@@ -102,13 +122,21 @@
         ++Each;
         continue;
       }
-      for (const AccountGrant &Grant : Each->Grants)
-        this->Members[Each->To].Limit.setGrant(Grant.Account, Grant.Part,
-                                               Each->ValidUntil);
+      UsageAdmission &Side = this->Members[Each->To].Side;
+      Side.onContact(this->Now);
+      if (Each->Grant)
+        Side.onCredit(this->Account.Id, *Each->Grant, Each->Request, this->Now);
       Each = this->Replies.erase(Each);
     }
   }
 
+  void countSilent() {
+    unsigned Silent = 0;
+    for (const Member &Each : this->Members)
+      Silent += this->Now > Each.HeardAt + milliseconds(1000) ? 1 : 0;
+    this->Pool.setInstances(InstanceCount, Silent);
+  }
+
   void admit(double Amount) {
     this->Admitted.emplace_back(this->Now, Amount);
     while (this->Admitted.front().first + WindowLength < this->Now)
@@ -119,13 +147,16 @@
     this->Worst = std::max(this->Worst, Sum);
   }
 
+  static constexpr double RequestSize = 900;
+
   std::mt19937_64 Random;
   base::TimePoint Now{std::chrono::hours(1)};
   catalog::Account Account;
-  UsageShares Shares{UsageSharesSettings{}};
+  UsagePool Pool{UsagePoolSettings{}};
   std::array<Member, InstanceCount> Members;
   std::deque<Reply> Replies;
   std::deque<std::pair<base::TimePoint, double>> Admitted;
+  std::uint64_t Requests = 0;
 };
 
 /// The deployments' bound on a window: a tenth above rate and burst, and a
@@ -150,9 +181,13 @@
   RC_ASSERT(All.Worst <= Bound);
 }
 
-/// In calm, what is asked for within the rate is admitted wherever it arrives.
-TEST(UsageTest, AnAccountGetsMostOfItsRateWhereverItsCallersAre) {
+/// Callers are spread unevenly over the instances, and ask first for less than
+/// the account's rate, then for far more: it gets all of its rate.
+TEST(UsageTest, AnAccountGetsItsRateWhereverItsCallersAre) {
   Fleet All(7);
-  All.run(milliseconds(20000), 1.5);
-  EXPECT_GE(All.admittedPerSecond(), 0.8 * Rate);
+  All.run(milliseconds(20000), 0.8);
+  double Admitted = All.admittedPerSecond();
+  All.run(milliseconds(8000), 3);
+  EXPECT_GE(Admitted, 0.6 * Rate);
+  EXPECT_GE(All.admittedPerSecond(), 0.95 * Rate);
 }
--- /dev/null
+++ b/src/dispatch/usagepool.h
@@ -0,0 +1,70 @@
+#ifndef KINGCUPHUB_DISPATCH_USAGEPOOL_H
+#define KINGCUPHUB_DISPATCH_USAGEPOOL_H
+
+/// \file
+/// Load pattern: the callers of an account with a small burst are spread over
+/// all instances, or one account sends many times its rate. The holder of the
+/// lease keeps each account's tokens in one pool and hands them to the
+/// instances as they ask; what was handed out is spent. A new holder begins
+/// with empty pools, as the former one may have handed out everything. For
+/// each instance that has gone silent, the pool's rate is lowered by what such
+/// an instance may use on its own (see usageadmission.h). No I/O and no clock.
+
+#include "base/clock.h"
+#include "catalog/catalog.h"
+
+#include <chrono>
+#include <map>
+
+namespace kingcuphub::dispatch {
+
+/// The part of an account's rate and burst that all instances together may use
+/// while none of them reaches the holder.
+constexpr double AlonePart = 0.5;
+
+struct CreditGrant {
+  std::int64_t Amount = 0;
+  /// When asking for the rest is worthwhile; 0 if all was granted.
+  std::chrono::milliseconds RetryAfter{0};
+};
+
+struct UsagePoolSettings {
+  /// An ask that cannot be met whole is met in part from this amount on: about
+  /// one request's tokens, so that no instance sits on less.
+  std::int64_t LeastGrant = 1500;
+  /// The longest time that an instance is told not to ask again for.
+  std::chrono::milliseconds LongestRetry{2000};
+};
+
+class UsagePool {
+public:
+  explicit UsagePool(UsagePoolSettings Settings) : Settings(Settings) {}
+
+  /// A lease was gained: what was handed out before is not known.
+  void start(base::TimePoint Now);
+  /// Of \p Instances, \p Silent have not been heard of lately.
+  void setInstances(unsigned NewInstances, unsigned NewSilent);
+  CreditGrant onAsk(const catalog::Account &Account, std::int64_t Amount,
+                    base::TimePoint Now);
+  void onReturn(const catalog::Account &Account, std::int64_t Amount,
+                base::TimePoint Now);
+
+private:
+  struct Pool {
+    double Level = 0;
+    base::TimePoint At;
+  };
+
+  double rateOf(const catalog::Account &Account) const;
+  Pool &refilled(const catalog::Account &Account, base::TimePoint Now);
+
+  UsagePoolSettings Settings;
+  base::TimePoint StartedAt;
+  unsigned Instances = 1;
+  unsigned Silent = 0;
+  std::map<base::AccountId, Pool> Pools;
+};
+
+} // namespace kingcuphub::dispatch
+
+#endif // KINGCUPHUB_DISPATCH_USAGEPOOL_H
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -10,7 +10,7 @@
 #include "base/clock.h"
 #include "dispatch/repeatbudget.h"
 #include "dispatch/targetboard.h"
-#include "dispatch/usagelimit.h"
+#include "dispatch/usageadmission.h"
 #include "forwarding/dialect.h"
 #include "http/forwardclient.h"
 #include "http/httpserver.h"
@@ -28,6 +28,10 @@
 struct ForwarderSettings {
   dispatch::TargetBoardSettings Board;
   dispatch::RepeatBudgetSettings Repeats;
+  dispatch::UsageAdmissionSettings Usage;
+  /// The part of a caller's patience that a request may wait for its account's
+  /// tokens: beyond it a later start would not be on time.
+  double TokenWaitPart = 0.15;
   http::ForwardSettings Connections;
   /// The part of the time left that a request may wait for a target that is
   /// full, or for a model to be loaded, before it is refused.
@@ -65,7 +69,21 @@
 /// What the traffic side has counted since it was last asked.
 struct TrafficUse {
   std::vector<residency::ItemUse> Items;
-  std::vector<dispatch::AccountUse> Accounts;
+};
+
+/// An answer of the holder's to an ask for credit.
+struct CreditNews {
+  base::AccountId Account;
+  dispatch::CreditGrant Grant;
+  std::uint64_t Request = 0;
+};
+
+/// Calls out of the traffic side.
+struct ForwarderEvents {
+  /// A request waits for a model or adapter that no target holds.
+  std::function<void()> OnWanted;
+  /// Credit is to be asked for, or given back.
+  std::function<void(std::vector<admission::CreditCommand>)> OnCredit;
 };
 
 class Forwarder {
@@ -79,14 +97,12 @@
   virtual void
   setHeld(const std::map<base::TargetId, dispatch::HeldState> &Held,
           base::TimePoint Until) = 0;
-  virtual void setLoading(
-      std::map<dispatch::ServiceModel, base::TimePoint> Loading) = 0;
-  virtual void setGrant(const base::AccountId &Account, double Part,
-                        base::TimePoint ValidUntil) = 0;
+  virtual void
+  setLoading(std::map<dispatch::ServiceModel, base::TimePoint> Loading) = 0;
+  /// The holder has answered, with these grants if any.
+  virtual void onCredits(const std::vector<CreditNews> &News) = 0;
   virtual TrafficUse takeUse() = 0;
-  /// Called when a request begins to wait for a model or adapter that no
-  /// target holds.
-  virtual void onWanted(std::function<void()> Wanted) = 0;
+  virtual void setEvents(ForwarderEvents Events) = 0;
   /// From now on new requests are refused unrun, as they could not be finished
   /// before the process ends.
   virtual void refuseNew() = 0;
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -82,11 +82,10 @@
                  this->Context.Settings.DefaultRetryAfter);
     return;
   }
-  if (!this->resolve() || !this->admit())
+  if (!this->resolve())
     return;
-  this->countUse();
   this->watch();
-  this->dispatch();
+  this->admit();
 }
 
 /// Finds route and account in the newest catalog; refuses if there are none.
@@ -137,26 +136,40 @@
   }
 }
 
-double Exchange::amount() const {
+std::int64_t Exchange::amount() const {
   if (!this->Account->CountsTokens)
     return 1;
   if (!this->Facts.PromptTokens)
-    return static_cast<double>(this->Account->PlainTokens);
-  return static_cast<double>(
-      (*this->Facts.PromptTokens + this->Facts.MaxOutputTokens).Value);
+    return this->Account->PlainTokens;
+  return (*this->Facts.PromptTokens + this->Facts.MaxOutputTokens).Value;
 }
 
-bool Exchange::admit() {
-  if (this->Account == nullptr)
-    return true;
-  auto Wait = this->Context.Usage.take(*this->Account, this->amount(),
-                                       this->ReceivedAt);
-  if (Wait) {
-    this->refuse(TooManyRequests, "account-limit", *Wait);
-    return false;
+void Exchange::admit() {
+  if (this->Account == nullptr || this->Account->RatePerSecond <= 0) {
+    this->admitted();
+    return;
   }
-  this->UsageTaken = true;
-  return true;
+  base::TimePoint Now = this->now();
+  admission::TokenWait Wait;
+  Wait.Request = this->Number;
+  Wait.Account = this->Account->Id;
+  Wait.Cost = base::Tokens{this->amount()};
+  Wait.StartBy =
+      Now + std::chrono::duration_cast<base::Duration>(
+                this->patience() * this->Context.Settings.TokenWaitPart);
+  this->Context.Unadmitted[this->Number] = this->shared_from_this();
+  this->Context.Usage.add(*this->Account, std::move(Wait), Now);
+  this->Context.Admit();
+}
+
+void Exchange::admitted() {
+  this->UsageTaken = this->Account != nullptr;
+  this->countUse();
+  this->dispatch();
+}
+
+void Exchange::overLimit(std::chrono::milliseconds RetryAfter) {
+  this->refuse(TooManyRequests, "account-limit", RetryAfter);
 }
 
 void Exchange::countUse() {
@@ -236,8 +249,8 @@
   }
   case Waits::ForItem: {
     auto Loaded = this->loadedIn();
-    return std::min(Part, Loaded ? *Loaded + Settings.LoadSlack
-                                 : Settings.NewsWait);
+    return std::min(Part,
+                    Loaded ? *Loaded + Settings.LoadSlack : Settings.NewsWait);
   }
   case Waits::ForTarget:
     return std::min(Part, Settings.NoTargetWait);
@@ -253,15 +266,14 @@
   auto Left = std::chrono::duration_cast<milliseconds>(this->AnswerBy - Now);
   if (!this->Route->Streaming)
     return Left;
-  auto Longest = std::max(
-      {Settings.Patience,
-       std::chrono::duration_cast<milliseconds>(this->Route->Objective *
-                                                Settings.PatienceObjectives),
-       std::chrono::duration_cast<milliseconds>(this->Route->PauseObjective *
-                                                Settings.PatiencePauses)});
-  return std::min(Left,
-                  std::chrono::duration_cast<milliseconds>(
-                      this->ReceivedAt + Longest - Now));
+  auto Longest =
+      std::max({Settings.Patience,
+                std::chrono::duration_cast<milliseconds>(
+                    this->Route->Objective * Settings.PatienceObjectives),
+                std::chrono::duration_cast<milliseconds>(
+                    this->Route->PauseObjective * Settings.PatiencePauses)});
+  return std::min(Left, std::chrono::duration_cast<milliseconds>(
+                            this->ReceivedAt + Longest - Now));
 }
 
 /// When the model will be loaded, by the holder's word.
@@ -269,9 +281,9 @@
   auto At = this->Context.Board.loadedAt(this->Service, this->Facts.Model);
   if (!At)
     return std::nullopt;
-  return std::max(std::chrono::milliseconds(0),
-                  std::chrono::duration_cast<std::chrono::milliseconds>(
-                      *At - this->now()));
+  return std::max(
+      std::chrono::milliseconds(0),
+      std::chrono::duration_cast<std::chrono::milliseconds>(*At - this->now()));
 }
 
 /// How long a load takes that has not begun.
@@ -756,6 +768,8 @@
   if (this->UsageTaken && CertainlyUnrun && this->Account != nullptr)
     this->Context.Usage.putBack(*this->Account, this->amount());
   this->leaveLine();
+  if (this->Context.Unadmitted.erase(this->Number) > 0)
+    this->Context.Usage.remove(this->Number);
   this->Timer.cancel();
   if (this->Call)
     this->Call->cancel();
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -27,6 +27,10 @@
   ~Exchange();
 
   void start();
+  /// The account's tokens have been taken.
+  void admitted();
+  /// The account's tokens are not to be had in time.
+  void overLimit(std::chrono::milliseconds RetryAfter);
   /// Takes in a new catalog while nothing of the request has been sent.
   void reconsider();
   /// Whether a target can take it now; remembers which.
@@ -54,10 +58,10 @@
   base::TimePoint now() const { return this->Context.Clock.now(); }
   bool resolve();
   bool resolveAccount();
-  bool admit();
+  void admit();
   void chooseService();
   void countUse();
-  double amount() const;
+  std::int64_t amount() const;
   dispatch::TargetQuery query() const;
 
   void dispatch();
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/forwarder.h"
 
+#include "base/visitor.h"
 #include "exchange.h"
 
 #include <asio/steady_timer.hpp>
@@ -13,19 +14,26 @@
 /// stop being full or cold as time passes.
 constexpr std::chrono::milliseconds LineInterval{20};
 
+/// How often requests that wait for tokens are looked at, and how often credit
+/// is looked after where none waits.
+constexpr std::chrono::milliseconds UsageInterval{20};
+constexpr std::chrono::milliseconds IdleUsageInterval{100};
+
 class WholeForwarder final : public Forwarder {
 public:
   WholeForwarder(asio::io_context &Loop, ForwarderSettings Settings,
                  const Dialect &Protocol, const base::Clock &Clock,
                  metrics::Registry &Metrics)
       : Context(Loop, std::move(Settings), Protocol, Clock, Metrics),
-        LineTimer(Loop) {
+        LineTimer(Loop), UsageTimer(Loop) {
     this->Context.Pump = [this] { this->pump(); };
     this->Context.LineGrew = [this] { this->watchLine(); };
     this->Context.Wanted = [this] {
-      if (this->Wanted)
-        this->Wanted();
+      if (this->Events.OnWanted)
+        this->Events.OnWanted();
     };
+    this->Context.Admit = [this] { this->admit(); };
+    this->tickUsage();
   }
 
   void handle(http::Request Asked, http::ResponseWriterPtr Answer) override {
@@ -64,14 +72,17 @@
     this->pump();
   }
 
-  void setLoading(std::map<dispatch::ServiceModel, base::TimePoint> Loading)
-      override {
+  void setLoading(
+      std::map<dispatch::ServiceModel, base::TimePoint> Loading) override {
     this->Context.Board.setLoading(std::move(Loading));
   }
 
-  void setGrant(const base::AccountId &Account, double Part,
-                base::TimePoint ValidUntil) override {
-    this->Context.Usage.setGrant(Account, Part, ValidUntil);
+  void onCredits(const std::vector<CreditNews> &News) override {
+    base::TimePoint Now = this->Context.Clock.now();
+    this->Context.Usage.onContact(Now);
+    for (const CreditNews &Each : News)
+      this->Context.Usage.onCredit(Each.Account, Each.Grant, Each.Request, Now);
+    this->admit();
   }
 
   TrafficUse takeUse() override {
@@ -84,12 +95,11 @@
       Use.What = Key.second;
       Out.Items.push_back(Use);
     }
-    Out.Accounts = this->Context.Usage.takeUse(this->Context.Clock.now());
     return Out;
   }
 
-  void onWanted(std::function<void()> NewWanted) override {
-    this->Wanted = std::move(NewWanted);
+  void setEvents(ForwarderEvents NewEvents) override {
+    this->Events = std::move(NewEvents);
   }
 
   void refuseNew() override { this->Context.RefusesNew = true; }
@@ -97,6 +107,45 @@
   std::size_t open() const override { return this->Context.Open; }
 
 private:
+  /// Decides on the requests that wait for tokens, and asks for what lacks.
+  void admit() {
+    base::TimePoint Now = this->Context.Clock.now();
+    for (const admission::TokenOutcome &Each : this->Context.Usage.tick(Now))
+      std::visit(base::Visitor{[this](const admission::TokensTaken &Taken) {
+                                 if (auto Of = this->takeWaiting(Taken.Request))
+                                   Of->admitted();
+                               },
+                               [this](const admission::TokensRefused &Refused) {
+                                 if (auto Of =
+                                         this->takeWaiting(Refused.Request))
+                                   Of->overLimit(Refused.RetryAfter);
+                               }},
+                 Each);
+    auto Commands = this->Context.Usage.takeCommands(Now);
+    if (!Commands.empty() && this->Events.OnCredit)
+      this->Events.OnCredit(std::move(Commands));
+  }
+
+  std::shared_ptr<Exchange> takeWaiting(const base::RequestId &Number) {
+    auto Found = this->Context.Unadmitted.find(Number);
+    if (Found == this->Context.Unadmitted.end())
+      return nullptr;
+    std::shared_ptr<Exchange> Out = std::move(Found->second);
+    this->Context.Unadmitted.erase(Found);
+    return Out;
+  }
+
+  void tickUsage() {
+    bool Waits = this->Context.Usage.waits();
+    this->UsageTimer.expires_after(Waits ? UsageInterval : IdleUsageInterval);
+    this->UsageTimer.async_wait([this](asio::error_code Failed) {
+      if (Failed)
+        return;
+      this->admit();
+      this->tickUsage();
+    });
+  }
+
   void pump() {
     if (std::exchange(this->Pumping, true)) {
       this->PumpAgain = true;
@@ -153,7 +202,8 @@
 
   TrafficContext Context;
   asio::steady_timer LineTimer;
-  std::function<void()> Wanted;
+  asio::steady_timer UsageTimer;
+  ForwarderEvents Events;
   bool Pumping = false;
   bool PumpAgain = false;
   bool Watching = false;
--- a/src/forwarding/internal/trafficcontext.h
+++ b/src/forwarding/internal/trafficcontext.h
@@ -25,7 +25,7 @@
                  metrics::Registry &Metrics)
       : Loop(Loop), Settings(std::move(NewSettings)), Protocol(Protocol),
         Clock(Clock), Metrics(Metrics), Board(this->Settings.Board),
-        Repeats(this->Settings.Repeats),
+        Repeats(this->Settings.Repeats), Usage(this->Settings.Usage),
         Client(http::makeForwardClient(Loop, this->Settings.Connections)),
         Random(std::random_device{}()) {}
 
@@ -36,7 +36,7 @@
   metrics::Registry &Metrics;
   dispatch::TargetBoard Board;
   dispatch::RepeatBudget Repeats;
-  dispatch::UsageLimit Usage;
+  dispatch::UsageAdmission Usage;
   std::unique_ptr<http::ForwardClient> Client;
   std::mt19937_64 Random;
   catalog::CatalogPtr Catalog;
@@ -45,6 +45,8 @@
 
   admission::FairQueue Queue;
   std::map<base::RequestId, std::shared_ptr<Exchange>> Waiting;
+  /// Requests that wait for tokens of their account.
+  std::map<base::RequestId, std::shared_ptr<Exchange>> Unadmitted;
   /// How fast requests end at each service.
   std::map<catalog::ServiceId, dispatch::FlowRate> EndRates;
   std::map<std::pair<catalog::ServiceId, residency::Item>, residency::ItemUse>
@@ -57,6 +59,8 @@
   std::function<void()> Pump;
   std::function<void()> LineGrew;
   std::function<void()> Wanted;
+  /// Decides what can be decided of the requests that wait for tokens.
+  std::function<void()> Admit;
 };
 
 } // namespace kingcuphub::forwarding
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -25,7 +25,11 @@
         Store(this->Speaks.MakeStore(Loop, *this->Http, this->Options.Store)),
         Engines(this->Speaks.MakeEngines(*this->Http)),
         Traffic(Loop, this->Options, *this->Speaks.Protocol, Clock,
-                this->Metrics, [this] { this->Control->onWanted(); }),
+                this->Metrics,
+                {[this] { this->Control->onWanted(); },
+                 [this](std::vector<admission::CreditCommand> Commands) {
+                   this->Control->onCredit(Commands);
+                 }}),
         Timer(Loop) {}
 
   base::Result<void> start() {
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -24,14 +24,19 @@
                              const forwarding::Dialect &Protocol,
                              const base::Clock &Clock,
                              metrics::Registry &Metrics,
-                             std::function<void()> OnWanted)
+                             forwarding::ForwarderEvents Events)
     : ControlLoop(ControlLoop), Guard(asio::make_work_guard(this->Loop)),
       Options(Options),
       Forwarder(forwarding::makeForwarder(
           this->Loop, forwarderSettings(Options), Protocol, Clock, Metrics)) {
-  this->Forwarder->onWanted([this, OnWanted = std::move(OnWanted)] {
-    asio::post(this->ControlLoop, OnWanted);
-  });
+  this->Forwarder->setEvents(
+      {[this, Events] { asio::post(this->ControlLoop, Events.OnWanted); },
+       [this, Events](std::vector<admission::CreditCommand> Commands) {
+         asio::post(this->ControlLoop,
+                    [Events, Commands = std::move(Commands)]() mutable {
+                      Events.OnCredit(std::move(Commands));
+                    });
+       }});
 }
 
 TrafficThread::~TrafficThread() {
@@ -104,19 +109,16 @@
     std::map<base::TargetId, dispatch::HeldState> Held,
     std::map<dispatch::ServiceModel, base::TimePoint> Loading,
     base::TimePoint Until) {
-  this->post([this, Held = std::move(Held), Loading = std::move(Loading),
-              Until] {
-    this->Forwarder->setLoading(Loading);
-    this->Forwarder->setHeld(Held, Until);
-  });
+  this->post(
+      [this, Held = std::move(Held), Loading = std::move(Loading), Until] {
+        this->Forwarder->setLoading(Loading);
+        this->Forwarder->setHeld(Held, Until);
+      });
 }
 
-void TrafficThread::setGrants(std::vector<dispatch::AccountGrant> Grants,
-                              base::TimePoint ValidUntil) {
-  this->post([this, Grants = std::move(Grants), ValidUntil] {
-    for (const dispatch::AccountGrant &Each : Grants)
-      this->Forwarder->setGrant(Each.Account, Each.Part, ValidUntil);
-  });
+void TrafficThread::onCredits(std::vector<forwarding::CreditNews> News) {
+  this->post(
+      [this, News = std::move(News)] { this->Forwarder->onCredits(News); });
 }
 
 void TrafficThread::takeUse(std::function<void(forwarding::TrafficUse)> Done) {
--- a/src/instance/internal/trafficthread.h
+++ b/src/instance/internal/trafficthread.h
@@ -22,7 +22,7 @@
 public:
   TrafficThread(asio::io_context &ControlLoop, const Settings &Options,
                 const forwarding::Dialect &Protocol, const base::Clock &Clock,
-                metrics::Registry &Metrics, std::function<void()> OnWanted);
+                metrics::Registry &Metrics, forwarding::ForwarderEvents Events);
   TrafficThread(const TrafficThread &) = delete;
   TrafficThread &operator=(const TrafficThread &) = delete;
   ~TrafficThread() override;
@@ -40,8 +40,7 @@
   void setHeld(std::map<base::TargetId, dispatch::HeldState> Held,
                std::map<dispatch::ServiceModel, base::TimePoint> Loading,
                base::TimePoint Until) override;
-  void setGrants(std::vector<dispatch::AccountGrant> Grants,
-                 base::TimePoint ValidUntil) override;
+  void onCredits(std::vector<forwarding::CreditNews> News) override;
   void takeUse(std::function<void(forwarding::TrafficUse)> Done) override;
 
 private:
