An account's limit holds over the span that the deployment states

Load pattern: an account whose rate was cut far below what it sends, with a large burst. Cause: tokens were refilled at the rate alone, while the deployment's limit is rate x window + burst in any window: requests within it were refused. Change: the pool keeps what it handed out within the window and returns most of the burst within it, evenly. Ruled out: the instances' lines (after_ms of the refusals spread over the whole wait).

--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -126,6 +126,7 @@
          {"before", this->Catalog ? this->Catalog->Version.Value : 0},
          {"routes", New->Routes.size()},
          {"accounts", New->Accounts.size()}});
+    this->logAccounts(*New);
     this->Metrics.counter("catalog_version")
         .set(static_cast<std::int64_t>(New->Version.Value));
     this->Catalog = New;
@@ -134,6 +135,23 @@
     this->checkReady();
   }
 
+  /// One line for each account whose limit differs from what was believed.
+  void logAccounts(const catalog::Catalog &New) const {
+    for (const auto &[Id, Each] : New.Accounts) {
+      auto Known = this->Catalog ? this->Catalog->Accounts.find(Id)
+                                 : New.Accounts.end();
+      bool Same = this->Catalog && Known != this->Catalog->Accounts.end() &&
+                  Known->second.RatePerSecond == Each.RatePerSecond &&
+                  Known->second.Burst == Each.Burst;
+      if (!Same)
+        base::logEvent(base::LogLevel::Info, "account-limit-is",
+                       {{"account", Id.Value},
+                        {"per_second", Each.RatePerSecond},
+                        {"burst", Each.Burst},
+                        {"catalog", New.Version.Value}});
+    }
+  }
+
   void onTargets(const std::vector<TargetUpdate> &Updates, bool Whole) {
     base::TimePoint Now = this->Clock.now();
     if (Whole) {
--- a/src/dispatch/usagepool.h
+++ b/src/dispatch/usagepool.h
@@ -14,6 +14,7 @@
 #include "catalog/catalog.h"
 
 #include <chrono>
+#include <deque>
 #include <map>
 
 namespace kingcuphub::dispatch {
@@ -29,6 +30,13 @@
 };
 
 struct UsagePoolSettings {
+  /// The limit holds over any span of this length: the rate times the span,
+  /// and the burst once. The deployment states it.
+  base::Duration Window = std::chrono::seconds(8);
+  /// The part of the burst that comes back within a window on top of the rate,
+  /// evenly, so that an account which asks for more than its limit is served at
+  /// an even pace and not by the window's edge.
+  double BurstReturns = 0.9;
   /// An ask that cannot be met whole is met in part from this amount on: about
   /// one request's tokens, so that no instance sits on less.
   std::int64_t LeastGrant = 1500;
@@ -50,13 +58,25 @@
                 base::TimePoint Now);
 
 private:
+  struct Granted {
+    base::TimePoint At;
+    double Amount = 0;
+  };
+  /// Tokens that may be handed out at once, and what was handed out within the
+  /// window.
   struct Pool {
     double Level = 0;
     base::TimePoint At;
+    std::deque<Granted> InWindow;
+    double WindowSum = 0;
   };
 
-  double rateOf(const catalog::Account &Account) const;
+  double wholeRate(const catalog::Account &Account, base::TimePoint Now) const;
+  double windowLimit(const catalog::Account &Account) const;
   Pool &refilled(const catalog::Account &Account, base::TimePoint Now);
+  std::chrono::milliseconds waitFor(const Pool &Of,
+                                    const catalog::Account &Account,
+                                    double Amount, base::TimePoint Now) const;
 
   UsagePoolSettings Settings;
   base::TimePoint StartedAt;
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -83,6 +83,7 @@
         this->Clock.wallNow().time_since_epoch().count());
     Out.LinkEndpoint = "tcp://" + this->Options.Link.text();
     Out.Lease.Duration = this->Options.Lease;
+    Out.Usage.Window = this->Options.UsageWindow;
     return Out;
   }
 
--- a/src/instance/internal/settings.cpp
+++ b/src/instance/internal/settings.cpp
@@ -51,6 +51,8 @@
   Out.Link = requiredEndpoint(Reader, "link");
   Out.Store = requiredEndpoint(Reader, "store");
   Out.Lease = Reader.millis("lease_ms", Out.Lease, ShortestLease, LongestLease);
+  Out.UsageWindow = Reader.millis("usage_window_ms", Out.UsageWindow,
+                                  ShortestWindow, LongestWindow);
   Out.Level = base::parseLogLevel(
       Reader.oneOf("log_level", "info", {"debug", "info", "warn", "error"}));
   Reader.object("stop", [&Out](base::SettingsReader &Nested) {
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -47,6 +47,8 @@
   StopSettings Stop;
   RepeatSettings Repeats;
   std::chrono::milliseconds Lease{3000};
+  /// The span over which accounts' limits hold.
+  std::chrono::milliseconds UsageWindow{8000};
   base::LogLevel Level = base::LogLevel::Info;
 };
 
