Adapters that are in use stay; a conflict is followed by a report that can show it

Load pattern: more adapters are asked for than the engines have places for. Cause: growth took places from adapters in use, whose unload blocks an engine until their requests end; after a conflict the next report was older than it, and the same wrong revision was ordered every 10 ms. Change: growth uses free places only, victims are those idle longest, an accepted unload of an adapter counts as under way until a report lacks it, and a report is asked for after the lag. A 503 of an engine with free slots counts for the model or adapter, not for the engine. Ruled out: engines that were full (767 of 852 refusals were 503 with slots free).

--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -603,7 +603,11 @@
              {"attempt", this->Attempt}});
   if (this->Facts.Model.empty())
     this->Tried.insert(From);
-  if (this->HeadFacts.Misdirected)
+  // An engine with free slots refuses what an order under way concerns.
+  const auto &Load = this->HeadFacts.Load;
+  bool Ordered = !this->Facts.Model.empty() && Load &&
+                 Load->Running + Load->Waiting < Load->Slots;
+  if (this->HeadFacts.Misdirected || Ordered)
     this->Context.Board.onNotHeld(From, this->Facts.Model, this->Facts.Adapter,
                                   this->now());
   else
--- a/src/residency/demandbook.h
+++ b/src/residency/demandbook.h
@@ -20,6 +20,9 @@
   base::Duration WaitingHolds = std::chrono::milliseconds(1500);
   /// An item that was asked for within this time counts as in use.
   base::Duration RecentFor = std::chrono::seconds(20);
+  /// The same for an item that a request may still run with: most streams have
+  /// ended by then.
+  base::Duration InUseFor = std::chrono::seconds(3);
 };
 
 /// Demand for one item at a moment.
@@ -28,6 +31,8 @@
   double Work = 0;
   unsigned Waiting = 0;
   bool Recent = false;
+  /// Asked for so lately that a request for it may still run.
+  bool InUse = false;
 };
 
 class DemandBook {
--- a/src/residency/enginebook.h
+++ b/src/residency/enginebook.h
@@ -22,6 +22,8 @@
   base::Duration ReportWhileBusy = std::chrono::milliseconds(250);
   /// How long an adapter takes to be there once its load is accepted.
   base::Duration AdapterLoad = std::chrono::milliseconds(14);
+  /// A report that is asked for this long after an event shows it.
+  base::Duration ReportLag = std::chrono::milliseconds(200);
   /// An order without an answer may be carried out this much later.
   base::Duration LateOrders = std::chrono::seconds(13);
   /// An item that an engine refused as invalid is not ordered again for this
--- a/src/residency/internal/demandbook.cpp
+++ b/src/residency/internal/demandbook.cpp
@@ -82,6 +82,7 @@
   Demand Out;
   Out.Work = Entry->second.Work * this->fade(Entry->second, Now);
   Out.Recent = Now < Entry->second.AskedAt + this->Settings.RecentFor;
+  Out.InUse = Now < Entry->second.AskedAt + this->Settings.InUseFor;
   for (const auto &[From, Told] : Entry->second.Waiting)
     if (Now < Told.second + this->Settings.WaitingHolds)
       Out.Waiting += Told.first;
--- a/src/residency/internal/enginebook.cpp
+++ b/src/residency/internal/enginebook.cpp
@@ -128,7 +128,14 @@
   // What takes longer than expected is looked at again soon.
   for (const Item &Each : Report.Fetching)
     Of.Arriving.try_emplace(Each, Now + this->Settings.AdapterLoad);
-  if (Of.Running && !Report.Busy)
+  if (!Of.Running || Report.Busy)
+    return;
+  // The unload of an adapter that is in use does not show as busy.
+  const Item &What = Of.Running->What;
+  bool Unloading = What.isAdapter() && itemsOf(Report.Models).count(What) != 0;
+  if (Unloading)
+    removeItem(Of.State.Models, What);
+  else
     Of.Running.reset();
 }
 
@@ -177,7 +184,7 @@
     auto Ahead = static_cast<int>(Of.Arriving.size());
     Of.Arriving[Sent.What] = Now + this->Settings.AdapterLoad * (Ahead + 1);
   }
-  if (!Sent.What.isAdapter()) {
+  if (!Sent.What.isAdapter() || Sent.Kind == OrderKind::Unload) {
     Of.Running = Sent;
     Of.RunningSince = Now;
   }
@@ -188,7 +195,7 @@
 /// What the engine holds is asked for before it is given another order.
 void EngineBook::forgetState(Engine &Of, base::TimePoint Now) {
   Of.Reported = false;
-  Of.ReportDueAt = Now;
+  Of.ReportDueAt = Now + this->Settings.ReportLag;
 }
 
 void EngineBook::onAnswer(const Order &Sent, OrderAnswer Answer,
@@ -328,7 +335,7 @@
   for (const auto &[Id, Each] : this->Engines) {
     const catalog::Target *Listed = this->target(Id);
     if (!Each.Running || Each.Running->Kind != OrderKind::Load ||
-        Listed == nullptr)
+        Each.Running->What.isAdapter() || Listed == nullptr)
       continue;
     const base::ModelId &Model = Each.Running->What.Model;
     const catalog::Engine *Kind = this->engineOf(Listed->Entry.Service);
--- a/src/residency/internal/planner.cpp
+++ b/src/residency/internal/planner.cpp
@@ -251,7 +251,8 @@
 
   /// Loads the adapter where its model is, in place of one that is missed less
   /// if there is no place left.
-  void placeAdapter(const Item &What, double Work, std::string_view Reason) {
+  void placeAdapter(const Item &What, double Work, bool MayEvict,
+                    std::string_view Reason) {
     EngineView *Best = nullptr;
     std::optional<Item> BestVictim;
     double Least = 0;
@@ -265,7 +266,7 @@
       double Cost = this->workAt(Each);
       if (Each.TakenAdapters >= this->Input.Kind.AdapterSlots) {
         auto [Found, Loss] = this->leastMissedAdapter(Each);
-        if (!Found || Loss >= Work)
+        if (!MayEvict || !Found || Loss >= Work)
           continue;
         Victim = Found;
         Cost += EvictionCost + Loss;
@@ -293,8 +294,9 @@
         Item What{Model, Adapter};
         residency::Demand Asked = this->adapterDemand(What);
         double Loss = Asked.Work / std::max(1U, this->adapterCopies(What));
-        if (Asked.Recent)
-          Loss += RecentAdapterLoss;
+        // The unload of one that is in use waits for its requests, and the
+        // engine takes no other order meanwhile.
+        Loss += Asked.InUse ? InUseLoss : Asked.Recent ? RecentAdapterLoss : 0;
         if (!Least || Loss < LeastLoss) {
           Least = What;
           LeastLoss = Loss;
@@ -309,7 +311,7 @@
              this->Input.Service, this->Input.Now))
       if (this->adapterDemand(Each).Waiting > 0 &&
           this->adapterCopies(Each) == 0)
-        this->placeAdapter(Each, Urgent, ReasonWaited);
+        this->placeAdapter(Each, Urgent, true, ReasonWaited);
   }
 
   void growAdapters() {
@@ -325,7 +327,7 @@
       auto Copies = this->adapterCopies(Each);
       if (Copies >= std::min<double>(Wanted, Model->second.Copies))
         continue;
-      this->placeAdapter(Each, Asked.Work / (Copies + 1) / 2, ReasonGrowth);
+      this->placeAdapter(Each, Asked.Work, false, ReasonGrowth);
     }
   }
 
@@ -337,6 +339,7 @@
   static constexpr double CachedBonus = 0.05;
   static constexpr double EvictionCost = 0.05;
   static constexpr double RecentAdapterLoss = 0.001;
+  static constexpr double InUseLoss = 1;
 
   const PlanInput &Input;
   const PlannerSettings &Settings;
