The lease is followed in the store only while its holder is silent

Cause: most calls to the store were long polls that each renewal ended (30 of 38 a second at eight instances, worked out from the intervals). Change: the holder says with each answer how long its lease lasts and when it leaves; others read the record only when it is silent.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -49,6 +49,8 @@
   std::chrono::milliseconds SilentAfter{1000};
   /// A new holder takes this long to hear of all instances.
   std::chrono::milliseconds CountAfter{2000};
+  /// While the holder answers, its record in the store is not followed.
+  std::chrono::milliseconds HolderSilentAfter{1000};
   /// A tick that comes this much late means that the process was stopped.
   std::chrono::milliseconds StoppedAbove{800};
 };
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -95,13 +95,17 @@
 
   void leave(std::function<void()> Done) override {
     auto Release = this->Lease.release(this->Clock.now());
-    this->Holding.checkLease();
     if (!Release) {
+      this->Holding.checkLease();
       Done();
       return;
     }
     auto Once = std::make_shared<std::function<void()>>(std::move(Done));
-    auto Finish = [Once] {
+    auto Finish = [this, Live = this->Alive, Once] {
+      if (*Live) {
+        this->Holding.leave();
+        this->Holding.checkLease();
+      }
       if (auto Call = std::exchange(*Once, nullptr))
         Call();
     };
@@ -224,6 +228,15 @@
           {{"endpoint", Endpoint}, {"why", Connected.error().Message}});
   }
 
+  /// The lease's record is followed only while the holder does not answer.
+  void checkHolder(base::TimePoint Now) {
+    bool Silent = Now > this->HolderAt + this->Settings.HolderSilentAfter;
+    if (Silent && !this->HolderSilent && !this->Lease.claimedHere())
+      this->Lease.forgetEnd();
+    this->HolderSilent = Silent;
+    this->Store.followLease(Silent || this->Lease.needsRead());
+  }
+
   void onHealth(const StoreHealth &How) {
     if (!How.Reachable)
       this->Table.onOutage(this->Clock.now());
@@ -244,6 +257,7 @@
     this->noticeStop(Now);
     this->Table.tick(Now);
     this->publishTargets();
+    this->checkHolder(Now);
     this->renewLease(Now);
     this->Holding.tick();
     this->TickTimer.expires_after(this->Settings.Tick);
@@ -264,6 +278,8 @@
   }
 
   void renewLease(base::TimePoint Now) {
+    if (!this->HolderSilent && !this->Lease.claimedHere())
+      return;
     auto Append = this->Lease.tick(this->Holding.instances(), Now);
     if (!Append)
       return;
@@ -285,7 +301,6 @@
       this->Lease.onNotAppended(Sent);
       // The follower starts again from the newest record.
       this->Store.followLease(false);
-      this->Store.followLease(true);
     }
     this->followHolder();
     this->Holding.checkLease();
@@ -341,6 +356,12 @@
     // A former holder's words count for nothing.
     if (Reply.token() < this->HeldToken)
       return;
+    this->HolderAt = Reply.leaving() ? base::TimePoint{} : Now;
+    this->checkHolder(Now);
+    if (Reply.leaving())
+      return;
+    this->Lease.onWord({Reply.lease_end()},
+                       std::chrono::milliseconds(Reply.lease_left_ms()), Now);
     this->HeldToken = Reply.token();
     this->HeldRevision = Reply.held_revision();
     if (Reply.held_included())
@@ -372,6 +393,8 @@
   std::map<std::string, bool> Reachable;
   base::TimePoint TickedAt;
   base::TimePoint ReportedAt;
+  base::TimePoint HolderAt;
+  bool HolderSilent = true;
   bool Urgent = false;
   std::unique_ptr<messaging::MessageClient> Link;
   std::string HolderEndpoint;
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -102,6 +102,7 @@
   Reply.set_token(this->Token->Value);
   Reply.set_number(Report.number());
   Reply.set_instances(this->instances());
+  this->sayLease(Now, Reply);
   Reply.set_held_revision(this->PublishedRevision);
   bool Has = Report.held_token() == this->Token->Value &&
              Report.held_revision() == this->PublishedRevision;
@@ -180,6 +181,24 @@
   });
 }
 
+void HolderSide::sayLease(base::TimePoint Now, wire::HolderReply &To) const {
+  To.set_lease_end(this->Lease.end().Value);
+  To.set_lease_left_ms(
+      static_cast<std::uint32_t>(this->Lease.left(Now).count()));
+}
+
+void HolderSide::leave() {
+  if (!this->Token)
+    return;
+  wire::HolderReply News;
+  News.set_token(this->Token->Value);
+  News.set_held_revision(this->PublishedRevision);
+  News.set_leaving(true);
+  std::string Bytes = News.SerializeAsString();
+  for (const auto &[Client, At] : this->Clients)
+    this->Server->send(Client, Bytes);
+}
+
 /// Tells every instance at once where what engines hold has changed.
 void HolderSide::publish() {
   base::TimePoint Now = this->Clock.now();
@@ -191,6 +210,7 @@
   wire::HolderReply News;
   News.set_token(this->Token->Value);
   News.set_instances(this->instances());
+  this->sayLease(Now, News);
   News.set_held_revision(this->PublishedRevision);
   writeHeld(this->Published, News);
   writeLoading(this->Holder.engines().loading(Now), Now, News);
--- a/src/control/internal/holderside.h
+++ b/src/control/internal/holderside.h
@@ -29,6 +29,8 @@
   /// instances.
   void onRecord(const residency::LeaseRecord &Record);
   void tick();
+  /// Tells the instances that the lease is given back.
+  void leave();
   /// The instances that limits are split over; 0 while it is not known.
   unsigned instances() const;
 
@@ -40,6 +42,7 @@
   void onReport(const messaging::ClientName &From, std::string_view Bytes);
   void answerCredits(const wire::InstanceReport &Report, wire::HolderReply &To);
   void countSilent(base::TimePoint Now);
+  void sayLease(base::TimePoint Now, wire::HolderReply &To) const;
   void publish();
   void publishLater();
   void carryOut(const residency::HolderCommand &Command);
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -5,6 +5,9 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
 
@@ -13,6 +16,17 @@
 namespace {
 
 constexpr long MaxIdleConnections = 4096;
+/// Keep-alive probes, in seconds, and how many of them go unanswered before a
+/// connection is given up.
+constexpr long ProbeSeconds = 1;
+constexpr int ProbeCount = 2;
+
+/// libcurl sets the probes' interval, but not their number.
+int limitProbes(void *, curl_socket_t Socket, curlsocktype) {
+  // Without the option a silent connection is found later, by the timeout.
+  setsockopt(Socket, IPPROTO_TCP, TCP_KEEPCNT, &ProbeCount, sizeof(ProbeCount));
+  return CURL_SOCKOPT_OK;
+}
 
 /// libcurl's global state, set up before the first handle.
 struct CurlLibrary {
@@ -157,6 +171,11 @@
     curl_easy_setopt(Easy, CURLOPT_PROXY, "");
     curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(Easy, CURLOPT_TCP_NODELAY, 1L);
+    // A connection that goes silent is found while an answer is waited for.
+    curl_easy_setopt(Easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(Easy, CURLOPT_TCP_KEEPIDLE, ProbeSeconds);
+    curl_easy_setopt(Easy, CURLOPT_TCP_KEEPINTVL, ProbeSeconds);
+    curl_easy_setopt(Easy, CURLOPT_SOCKOPTFUNCTION, limitProbes);
     curl_easy_setopt(Easy, CURLOPT_PRIVATE, &New);
     curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(Request.ConnectTimeout.count()));
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -61,6 +61,13 @@
   /// The newest record, or none, as read from the store with its end.
   void onRead(const std::optional<LeaseRecord> &Record, LeaseEnd End,
               base::TimePoint Now);
+  /// Takes the holder's own word on its lease: after the record before \p WordEnd
+  /// it is valid for \p Left at most, if nothing follows that record.
+  void onWord(LeaseEnd WordEnd, std::chrono::milliseconds Left,
+              base::TimePoint Now);
+  /// How much longer the lease is held, as the holder may tell others.
+  std::chrono::milliseconds left(base::TimePoint Now) const;
+  LeaseEnd end() const { return this->End.value_or(LeaseEnd{}); }
   /// What to append now.
   std::optional<LeaseAppend> tick(unsigned Instances, base::TimePoint Now);
   void onAppended(const LeaseAppend &Sent, base::TimePoint Now);
@@ -75,16 +82,24 @@
   /// The token if the lease is held at \p Now; to be asked right before each
   /// order is sent.
   std::optional<FencingToken> held(base::TimePoint Now) const;
+  /// The newest record that is known is this incarnation's, lapsed or not.
+  bool claimedHere() const;
+  /// Records were missed: nothing is claimed until the store has been read.
+  void forgetEnd();
   bool needsRead() const { return !this->End.has_value(); }
   const std::optional<LeaseRecord> &record() const { return this->Latest; }
 
 private:
+  struct Word {
+    LeaseEnd End;
+    base::TimePoint Until;
+  };
   struct Sent {
     std::uint64_t Number = 0;
     base::TimePoint At;
   };
 
-  bool isMine() const;
+  base::TimePoint mayClaimAt() const;
   LeaseAppend append(bool Release, unsigned Instances, base::TimePoint Now);
   void drawDelay();
 
@@ -96,6 +111,7 @@
   std::optional<LeaseRecord> Latest;
   std::optional<LeaseEnd> End;
   base::TimePoint SeenAt;
+  std::optional<Word> HolderWord;
   std::chrono::milliseconds Delay{0};
   base::TimePoint ValidUntil;
   base::TimePoint LastSentAt;
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -27,7 +27,7 @@
   this->Delay = std::chrono::milliseconds(Spread(this->Random));
 }
 
-bool HolderLease::isMine() const {
+bool HolderLease::claimedHere() const {
   return this->Latest && !this->Latest->Released &&
          this->Latest->Holder == this->Self &&
          this->Latest->Incarnation == this->Incarnation;
@@ -44,7 +44,7 @@
   }
   this->Latest = Record;
   this->End = NewEnd;
-  if (!this->isMine()) {
+  if (!this->claimedHere()) {
     this->ValidUntil = {};
     this->Fenced = false;
     return;
@@ -65,7 +65,7 @@
   Out.Record.Incarnation = this->Incarnation;
   Out.Record.Number = this->NextNumber++;
   Out.Record.Token =
-      this->isMine() ? this->Latest->Token : FencingToken{this->End->Value + 1};
+      this->claimedHere() ? this->Latest->Token : FencingToken{this->End->Value + 1};
   Out.Record.Released = Release;
   Out.Record.Endpoint = this->Endpoint;
   Out.Record.Instances = Instances;
@@ -79,6 +79,25 @@
   return Out;
 }
 
+void HolderLease::onWord(LeaseEnd WordEnd, std::chrono::milliseconds Left,
+                         base::TimePoint Now) {
+  this->HolderWord = Word{WordEnd, Now + Left};
+}
+
+std::chrono::milliseconds HolderLease::left(base::TimePoint Now) const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(this->ValidUntil - Now, base::Duration::zero()));
+}
+
+base::TimePoint HolderLease::mayClaimAt() const {
+  if (!this->Latest || this->Latest->Released)
+    return this->SeenAt + this->Delay;
+  bool ByWord = this->HolderWord && this->HolderWord->End == *this->End;
+  base::TimePoint Lapses = ByWord ? this->HolderWord->Until
+                                  : this->SeenAt + this->Settings.Duration;
+  return Lapses + this->Settings.Drift + this->Delay;
+}
+
 std::optional<LeaseAppend> HolderLease::tick(unsigned Instances,
                                              base::TimePoint Now) {
   if (this->Leaving || !this->End)
@@ -86,16 +105,12 @@
   if (this->PendingSince &&
       Now < *this->PendingSince + this->Settings.AppendTimeout)
     return std::nullopt;
-  if (this->isMine()) {
+  if (this->claimedHere()) {
     if (this->Fenced || Now < this->LastSentAt + this->Settings.RenewEvery)
       return std::nullopt;
     return this->append(false, Instances, Now);
   }
-  bool Free = !this->Latest || this->Latest->Released;
-  base::Duration Wait =
-      Free ? base::Duration(this->Delay)
-           : this->Settings.Duration + this->Settings.Drift + this->Delay;
-  if (Now < this->SeenAt + Wait)
+  if (Now < this->mayClaimAt())
     return std::nullopt;
   return this->append(false, Instances, Now);
 }
@@ -112,6 +127,8 @@
     this->End.reset();
 }
 
+void HolderLease::forgetEnd() { this->End.reset(); }
+
 void HolderLease::onFenced() {
   this->Fenced = true;
   this->ValidUntil = {};
@@ -120,7 +137,7 @@
 
 std::optional<LeaseAppend> HolderLease::release(base::TimePoint Now) {
   this->Leaving = true;
-  bool Held = this->isMine() && this->End;
+  bool Held = this->claimedHere() && this->End;
   this->ValidUntil = {};
   if (!Held)
     return std::nullopt;
@@ -128,7 +145,7 @@
 }
 
 std::optional<FencingToken> HolderLease::held(base::TimePoint Now) const {
-  if (this->Leaving || this->Fenced || !this->isMine() ||
+  if (this->Leaving || this->Fenced || !this->claimedHere() ||
       Now >= this->ValidUntil)
     return std::nullopt;
   return this->Latest->Token;
