--- a/src/residency/demandbook.h
+++ b/src/residency/demandbook.h
@@ -16,6 +16,9 @@
   /// Time constant of the rates: short, as demand moves between models within
   /// seconds, and long against the interval of the instances' reports.
   base::Duration Smoothing = std::chrono::milliseconds(1500);
+  /// Time constant of the rate that memory is given up by: longer than a load
+  /// from the weight store, so that a dip does not cost one.
+  base::Duration HeldSmoothing = std::chrono::seconds(6);
   /// How long an instance's word on waiting requests holds.
   base::Duration WaitingHolds = std::chrono::milliseconds(1500);
   /// An item that was asked for within this time counts as in use.
@@ -29,6 +32,8 @@
 struct Demand {
   /// Engine time asked for, in seconds a second.
   double Work = 0;
+  /// The same over a longer past, if that is more: what memory is given up by.
+  double HeldWork = 0;
   unsigned Waiting = 0;
   bool Recent = false;
   /// Asked for so lately that a request for it may still run.
@@ -51,6 +56,7 @@
 private:
   struct Entry {
     double Work = 0;
+    double SlowWork = 0;
     base::TimePoint WorkAt;
     base::TimePoint AskedAt;
     std::map<base::InstanceId, std::pair<unsigned, base::TimePoint>> Waiting;
@@ -59,7 +65,8 @@
 
   void add(Entry &To, const base::InstanceId &From, const ItemUse &Use,
            base::TimePoint Now) const;
-  double fade(const Entry &Of, base::TimePoint Now) const;
+  static double fade(const Entry &Of, base::Duration Smoothing,
+                     base::TimePoint Now);
 
   DemandBookSettings Settings;
   std::map<catalog::ServiceId, Items> Services;
--- a/src/residency/enginebook.h
+++ b/src/residency/enginebook.h
@@ -49,6 +49,8 @@
   /// Loads on their way; not in Models yet.
   std::set<Item> Loading;
   std::set<base::ModelId> CachedWeights;
+  /// A model is being unloaded; its memory is free soon.
+  bool FreesMemory = false;
   /// Memory and adapter places that are taken or may come to be.
   double TakenMb = 0;
   unsigned TakenAdapters = 0;
--- a/src/residency/internal/demandbook.cpp
+++ b/src/residency/internal/demandbook.cpp
@@ -35,17 +35,21 @@
   return "unknown";
 }
 
-double DemandBook::fade(const Entry &Of, base::TimePoint Now) const {
+double DemandBook::fade(const Entry &Of, base::Duration Smoothing,
+                        base::TimePoint Now) {
   double Age = Seconds(Now - Of.WorkAt).count();
-  return std::exp(-std::max(Age, 0.0) /
-                  Seconds(this->Settings.Smoothing).count());
+  return std::exp(-std::max(Age, 0.0) / Seconds(Smoothing).count());
 }
 
 void DemandBook::add(Entry &To, const base::InstanceId &From,
                      const ItemUse &Use, base::TimePoint Now) const {
   // Work that arrives as impulses, smoothed into a rate.
-  To.Work = To.Work * this->fade(To, Now) +
-            Use.Work.count() / Seconds(this->Settings.Smoothing).count();
+  auto Follow = [&](double &Rate, base::Duration Smoothing) {
+    Rate = Rate * fade(To, Smoothing, Now) +
+           Use.Work.count() / Seconds(Smoothing).count();
+  };
+  Follow(To.Work, this->Settings.Smoothing);
+  Follow(To.SlowWork, this->Settings.HeldSmoothing);
   To.WorkAt = Now;
   if (Use.Arrived > 0 || Use.Waiting > 0)
     To.AskedAt = Now;
@@ -80,7 +84,11 @@
   if (Entry == Found->second.end())
     return {};
   Demand Out;
-  Out.Work = Entry->second.Work * this->fade(Entry->second, Now);
+  const struct Entry &Of = Entry->second;
+  Out.Work = Of.Work * fade(Of, this->Settings.Smoothing, Now);
+  Out.HeldWork =
+      std::max(Out.Work,
+               Of.SlowWork * fade(Of, this->Settings.HeldSmoothing, Now));
   Out.Recent = Now < Entry->second.AskedAt + this->Settings.RecentFor;
   Out.InUse = Now < Entry->second.AskedAt + this->Settings.InUseFor;
   for (const auto &[From, Told] : Entry->second.Waiting)
--- a/src/residency/internal/enginebook.cpp
+++ b/src/residency/internal/enginebook.cpp
@@ -295,6 +295,11 @@
   for (const auto &[What, Until] : Of.Refused)
     if (Now < Until)
       Out.Claimed.insert(What);
+  auto FreesModel = [](const Order &Each) {
+    return Each.Kind == OrderKind::Unload && !Each.What.isAdapter();
+  };
+  Out.FreesMemory = (Of.Running && FreesModel(*Of.Running)) ||
+                    (Of.Open && FreesModel(Of.Open->What));
   const catalog::Engine *Kind = this->engineOf(Listed.Entry.Service);
   for (const Item &Each : Out.Claimed) {
     Out.TakenMb += Kind == nullptr ? 0 : this->sizeOf(*Kind, Each);
--- a/src/residency/internal/planner.cpp
+++ b/src/residency/internal/planner.cpp
@@ -20,8 +20,10 @@
   Round(const PlanInput &Input, const PlannerSettings &Settings)
       : Input(Input), Settings(Settings), StoreLoads(Input.StoreLoads) {
     for (const EngineView &Each : Input.Engines)
-      if (Each.Service == Input.Service)
+      if (Each.Service == Input.Service) {
         this->Engines.push_back(Each);
+        this->RoomsComing += Each.Usable && Each.FreesMemory ? 1 : 0;
+      }
     for (const auto &[Id, Model] : Input.Kind.Models) {
       this->readModel(Model);
       if (Model.Adapters > 0)
@@ -146,6 +148,11 @@
   /// also the last copy of a model that nobody asks for.
   bool makeRoom(const catalog::Model &For, double GainPerCopy, bool LastToo,
                 std::string_view Reason) {
+    // An unload that is under way was ordered for what is first in need.
+    if (this->RoomsComing > 0) {
+      --this->RoomsComing;
+      return false;
+    }
     EngineView *Where = nullptr;
     base::ModelId Victim;
     double Least = 0;
@@ -186,7 +193,7 @@
       return Never;
     if (Of.Copies <= 1)
       return LastToo && !Of.Demand.Recent ? LastCopyLoss : Never;
-    return Of.Demand.Work / (Of.Copies - 1);
+    return Of.Demand.HeldWork / (Of.Copies - 1);
   }
 
   bool loadsLeft() const {
@@ -218,9 +225,10 @@
       std::string_view Reason = Spare ? ReasonSpare : ReasonGrowth;
       if (EngineView *Room = this->findRoom(*Each->Model))
         this->commit(*Room, OrderKind::Load, {Each->Model->Id, {}}, Reason);
-      else if (Spare || Work > this->Settings.ReplaceAbove)
-        this->makeRoom(*Each->Model, Work, Work > this->Settings.ReplaceAbove,
-                       Reason);
+      else if (Work > this->Settings.ReplaceAbove)
+        this->makeRoom(*Each->Model, Work, true, Reason);
+      else if (Spare)
+        this->makeRoom(*Each->Model, this->Settings.SpareWorth, false, Reason);
     }
   }
 
@@ -345,6 +353,8 @@
   const PlannerSettings &Settings;
   unsigned StoreLoads;
   unsigned LoadsUnderWay = 0;
+  /// Engines on which memory for a model is about to be free.
+  unsigned RoomsComing = 0;
   double LargestAdapterMb = 0;
   std::vector<EngineView> Engines;
   std::map<base::ModelId, ModelState> Models;
--- a/src/residency/planner.h
+++ b/src/residency/planner.h
@@ -19,14 +19,16 @@
 struct PlannerSettings {
   /// Engine time a second per copy above which another copy is worth a load
   /// into free memory, and into memory that another copy gives up.
-  double GrowAbove = 0.10;
-  double ReplaceAbove = 0.20;
+  double GrowAbove = 0.35;
+  double ReplaceAbove = 0.7;
   /// A copy makes way only if the copies that remain of its model have less
   /// than this part of the work per copy of the model that grows.
   double VictimBelow = 0.5;
   /// A model with more engine time than this has two copies, so that the loss
   /// of one engine does not take it away.
   double SpareAbove = 0.02;
+  /// What a second copy is worth where memory has to be given up for it.
+  double SpareWorth = 0.02;
   /// Copies of an adapter: its part of its model's demand, times the copies of
   /// the model, times this.
   double AdapterSpread = 1.5;
