--- a/src/residency/internal/planner.cpp
+++ b/src/residency/internal/planner.cpp
@@ -227,8 +227,6 @@
         this->commit(*Room, OrderKind::Load, {Each->Model->Id, {}}, Reason);
       else if (Work > this->Settings.ReplaceAbove)
         this->makeRoom(*Each->Model, Work, true, Reason);
-      else if (Spare)
-        this->makeRoom(*Each->Model, this->Settings.SpareWorth, false, Reason);
     }
   }
 
--- a/src/residency/planner.h
+++ b/src/residency/planner.h
@@ -24,11 +24,9 @@
   /// A copy makes way only if the copies that remain of its model have less
   /// than this part of the work per copy of the model that grows.
   double VictimBelow = 0.5;
-  /// A model with more engine time than this has two copies, so that the loss
-  /// of one engine does not take it away.
+  /// A model with more engine time than this has two copies where memory is
+  /// free, so that the loss of one engine does not take it away.
   double SpareAbove = 0.02;
-  /// What a second copy is worth where memory has to be given up for it.
-  double SpareWorth = 0.02;
   /// Copies of an adapter: its part of its model's demand, times the copies of
   /// the model, times this.
   double AdapterSpread = 1.5;
