--- /dev/null
+++ b/src/catalog/tests/targettabletest.cpp
@@ -0,0 +1,122 @@
+#include "catalog/targettable.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace kingcuphub;
+using namespace kingcuphub::catalog;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr base::TimePoint Start{std::chrono::hours(1)};
+
+TargetEntry entry(std::uint64_t Lifetime, std::uint64_t Beat,
+                  bool Leaving = false) {
+  TargetEntry Out;
+  Out.Id = {"t"};
+  Out.Lifetime = {Lifetime};
+  Out.Beat = Beat;
+  Out.Leaving = Leaving;
+  return Out;
+}
+
+const Target *find(TargetTable &Table) {
+  static TargetListPtr Keep;
+  Keep = Table.list();
+  auto Found = Keep->Targets.find({"t"});
+  return Found == Keep->Targets.end() ? nullptr : &Found->second;
+}
+
+} // namespace
+
+/// Heartbeats come in any order, some twice: what is believed is the newest of
+/// them, and a target that leaves does not come back within its lifetime.
+RC_GTEST_PROP(TargetTableTest, TheNewestHeartbeatCounts, ()) {
+  struct Beat {
+    std::uint64_t Lifetime = 0;
+    std::uint64_t Number = 0;
+  };
+  auto Order = *rc::gen::container<std::vector<std::uint64_t>>(
+      rc::gen::inRange<std::uint64_t>(0, 40));
+  TargetTable Table({});
+  std::uint64_t Newest = 0;
+  bool Any = false;
+  for (std::uint64_t Each : Order) {
+    // Ten heartbeats a lifetime; the last three of each say that it leaves.
+    Table.onEntry(entry(Each / 10, Each % 10, Each % 10 >= 7), Start);
+    Newest = std::max(Newest, Each);
+    Any = true;
+  }
+  const Target *Known = find(Table);
+  RC_ASSERT((Known != nullptr) == Any);
+  if (Known == nullptr)
+    return;
+  RC_ASSERT(Known->Entry.Lifetime.Value == Newest / 10);
+  RC_ASSERT(Known->Entry.Beat == Newest % 10);
+  RC_ASSERT(Known->Entry.Leaving == (Newest % 10 >= 7));
+}
+
+TEST(TargetTableTest, ARemovedTargetIsGoneAtOnce) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 1), Start);
+  Table.onRemoved({"t"}, Start);
+  EXPECT_EQ(find(Table), nullptr);
+}
+
+TEST(TargetTableTest, AnOldHeartbeatDoesNotBringARemovedTargetBack) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 5), Start);
+  Table.onRemoved({"t"}, Start);
+  Table.onEntry(entry(1, 4), Start);
+  EXPECT_EQ(find(Table), nullptr);
+  Table.onEntry(entry(1, 6), Start);
+  EXPECT_NE(find(Table), nullptr);
+}
+
+TEST(TargetTableTest, ALapseAroundAnOutageIsDoubtedForAWhile) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 1), Start);
+  Table.onOutage(Start + milliseconds(100));
+  Table.onRemoved({"t"}, Start + milliseconds(300));
+  Table.tick(Start + milliseconds(1500));
+  EXPECT_NE(find(Table), nullptr);
+  Table.tick(Start + milliseconds(3000));
+  EXPECT_EQ(find(Table), nullptr);
+}
+
+TEST(TargetTableTest, AnEntryThatIsWrittenAnewEndsTheDoubt) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 1), Start);
+  Table.onOutage(Start);
+  Table.onRemoved({"t"}, Start);
+  Table.onEntry(entry(1, 2), Start + milliseconds(1000));
+  Table.tick(Start + milliseconds(5000));
+  EXPECT_NE(find(Table), nullptr);
+}
+
+TEST(TargetTableTest, ALeavingTargetIsNotDoubted) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 1, true), Start);
+  Table.onOutage(Start);
+  Table.onRemoved({"t"}, Start);
+  EXPECT_EQ(find(Table), nullptr);
+}
+
+TEST(TargetTableTest, ATargetIsGoneWhenItsStatedTimeIsOver) {
+  TargetTable Table({});
+  TargetEntry Ends = entry(1, 1, true);
+  Ends.TimeLeft = milliseconds(2000);
+  Table.onEntry(Ends, Start);
+  Table.tick(Start + milliseconds(1900));
+  EXPECT_NE(find(Table), nullptr);
+  Table.tick(Start + milliseconds(2000));
+  EXPECT_EQ(find(Table), nullptr);
+}
+
+TEST(TargetTableTest, WhatAWholeListLacksWasRemoved) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 1), Start);
+  Table.onWholeList({}, Start);
+  EXPECT_EQ(find(Table), nullptr);
+}
--- /dev/null
+++ b/src/dispatch/tests/targetboardtest.cpp
@@ -0,0 +1,171 @@
+#include "dispatch/targetboard.h"
+
+#include <gtest/gtest.h>
+
+using namespace kingcuphub;
+using namespace kingcuphub::dispatch;
+using std::chrono::milliseconds;
+
+namespace {
+
+const catalog::ServiceId Pool{"pool"};
+const base::ModelId Model{"m"};
+constexpr base::TimePoint Start{std::chrono::hours(1)};
+
+class TargetBoardTest : public testing::Test {
+protected:
+  void SetUp() override {
+    auto New = std::make_shared<catalog::Catalog>();
+    catalog::Service Service;
+    Service.Id = Pool;
+    Service.ColdPerSecond = 16;
+    Service.Engine.emplace();
+    New->Services[Pool] = Service;
+    this->Board.setCatalog(New);
+    for (const char *Id : {"a", "b", "c"}) {
+      catalog::Target Target;
+      Target.Entry.Id = {Id};
+      Target.Entry.Service = Pool;
+      Target.Entry.Zone = {Id};
+      Target.Entry.Slots = 4;
+      Target.Entry.Models[Model];
+      this->List.Targets[Target.Entry.Id] = Target;
+    }
+    this->Query.Service = Pool;
+    this->Query.Model = Model;
+  }
+
+  void publish() {
+    this->Board.setTargets(
+        std::make_shared<const catalog::TargetList>(this->List));
+  }
+
+  catalog::TargetEntry &entry(const char *Id) {
+    return this->List.Targets[{Id}].Entry;
+  }
+
+  std::string choose(base::TimePoint Now = Start) {
+    auto Choice = this->Board.choose(this->Query, Now);
+    auto *Found = std::get_if<SendTo>(&Choice);
+    return Found == nullptr ? "" : Found->Target.Value;
+  }
+
+  static TargetBoardSettings settings() {
+    TargetBoardSettings Out;
+    Out.Zone = {"a"};
+    Out.Cold.Self = {"i"};
+    return Out;
+  }
+
+  TargetBoard Board{settings()};
+  catalog::TargetList List;
+  TargetQuery Query;
+};
+
+} // namespace
+
+TEST_F(TargetBoardTest, ATargetThatLeavesOrWhoseZoneIsOutGetsNothing) {
+  this->entry("a").Leaving = true;
+  this->List.ZonesOut = {{"b"}};
+  this->publish();
+  EXPECT_EQ(this->choose(), "c");
+  EXPECT_FALSE(this->Board.maySend({"a"}, Start));
+  EXPECT_FALSE(this->Board.maySend({"b"}, Start));
+}
+
+TEST_F(TargetBoardTest, TheHoldersWordGoesBeforeTheList) {
+  this->publish();
+  for (const char *Id : {"a", "b"})
+    this->Board.setHeld({Id}, {}, Start + milliseconds(1000));
+  EXPECT_EQ(this->choose(), "c");
+  EXPECT_NE(this->choose(Start + milliseconds(1000)), "c");
+}
+
+TEST_F(TargetBoardTest, TheWordOnAnEarlierLifetimeCountsForNothing) {
+  this->entry("a").Lifetime = {2};
+  this->publish();
+  HeldState Old;
+  Old.Lifetime = {1};
+  this->Board.setHeld({"a"}, Old, Start + milliseconds(1000));
+  EXPECT_EQ(this->choose(), "a");
+}
+
+TEST_F(TargetBoardTest, WithoutTheModelItSaysWhy) {
+  this->Query.Model = {"other"};
+  this->publish();
+  auto Choice = this->Board.choose(this->Query, Start);
+  EXPECT_TRUE(std::holds_alternative<NotHeld>(Choice));
+  this->Query.Service = {"none"};
+  Choice = this->Board.choose(this->Query, Start);
+  EXPECT_TRUE(std::holds_alternative<NoTarget>(Choice));
+}
+
+TEST_F(TargetBoardTest, FullTargetsMakeTheRequestWait) {
+  this->publish();
+  for (const char *Id : {"a", "b", "c"})
+    this->Board.onStatedLoad({Id}, {4, 0, 4}, Start);
+  auto Choice = this->Board.choose(this->Query, Start);
+  EXPECT_TRUE(std::holds_alternative<AllFull>(Choice));
+}
+
+/// Some engines fail part of their requests while they look sound: they are
+/// passed over, and tried again once their failures have faded.
+TEST_F(TargetBoardTest, ATargetThatFailsIsPassedOverForAWhile) {
+  this->publish();
+  for (int Round = 0; Round < 4; ++Round) {
+    this->Board.onSent(this->Query, {"a"}, Start);
+    this->Board.onEnded({"a"}, AttemptEnd::ServerError, Start);
+  }
+  EXPECT_NE(this->choose(), "a");
+  EXPECT_EQ(this->choose(Start + std::chrono::seconds(60)), "a");
+}
+
+/// Requests with the same beginning of a prompt go where it is cached, until
+/// the queue there costs more than reading it again.
+TEST_F(TargetBoardTest, ACachedPromptIsWeighedAgainstTheQueue) {
+  std::vector<PromptPart> Prompt = {{7, base::Tokens{70}}};
+  this->Query.Prompt = &Prompt;
+  this->publish();
+  this->Board.onSent(this->Query, {"c"}, Start);
+  this->Board.onEnded({"c"}, AttemptEnd::Served, Start);
+  this->entry("c").Slots = this->entry("a").Slots = 64;
+  this->publish();
+  Prompt[0].Size = base::Tokens{700};
+  EXPECT_EQ(this->choose(), "c");
+  this->Board.onStatedLoad({"c"}, {40, 0, 64}, Start);
+  EXPECT_EQ(this->choose(), "a");
+}
+
+/// A target turns cold while eight instances have requests for it: together
+/// they send no more than it bears in any second.
+TEST(ColdLimitTest, AllInstancesTogetherKeepTheBound) {
+  constexpr double PerSecond = 31;
+  for (unsigned Instances : {1U, 8U, 31U, 73U, 300U}) {
+    std::vector<ColdLimit> Limits;
+    for (unsigned Index = 0; Index < Instances; ++Index) {
+      Limits.emplace_back(
+          ColdLimitSettings{{"instance-" + std::to_string(Index)}});
+      Limits.back().setInstances(Instances);
+    }
+    catalog::Target Cold;
+    Cold.Entry.Id = {"t"};
+    std::vector<base::TimePoint> Sent;
+    for (auto Now = Start; Now < Start + milliseconds(3000);
+         Now += milliseconds(10))
+      for (ColdLimit &Each : Limits)
+        if (Each.allows(Cold, PerSecond, Now)) {
+          Each.onSent(Cold, PerSecond, Now);
+          Sent.push_back(Now);
+        }
+    std::size_t Most = 0;
+    for (std::size_t First = 0; First < Sent.size(); ++First) {
+      std::size_t Last = First;
+      while (Last < Sent.size() && Sent[Last] < Sent[First] + milliseconds(1000))
+        ++Last;
+      Most = std::max(Most, Last - First);
+    }
+    // The stated bound: half as much again, and five.
+    EXPECT_LE(Most, PerSecond * 1.5 + 5) << Instances;
+    EXPECT_GE(Sent.size(), 20U) << Instances;
+  }
+}
--- /dev/null
+++ b/src/http/tests/forwardclienttest.cpp
@@ -0,0 +1,165 @@
+#include "http/forwardclient.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+
+using namespace kingcuphub::http;
+using asio::ip::tcp;
+
+namespace {
+
+/// A peer that takes connections and answers by hand.
+class ForwardClientTest : public testing::Test {
+protected:
+  void SetUp() override {
+    this->Listener.open(tcp::v4());
+    this->Listener.bind({asio::ip::address_v4::loopback(), 0});
+    this->Listener.listen();
+    this->accept();
+    this->To = {"peer", "127.0.0.1", this->Listener.local_endpoint().port()};
+    this->Client = makeForwardClient(this->Loop, {});
+  }
+
+  void accept() {
+    this->Listener.async_accept([this](asio::error_code Failed, tcp::socket New) {
+      if (Failed)
+        return;
+      this->Accepted.push_back(std::make_shared<tcp::socket>(std::move(New)));
+      this->accept();
+    });
+  }
+
+  std::shared_ptr<ForwardCall> ask() {
+    this->Result.reset();
+    ForwardCallbacks Callbacks;
+    Callbacks.OnData = [this](std::string_view Bytes) { this->Body += Bytes; };
+    Callbacks.OnDone = [this](const ForwardResult &Got) { this->Result = Got; };
+    return this->Client->start(
+        this->To,
+        {"POST", "/x", {{"Host", "h"}}, std::make_shared<std::string>("body")},
+        std::move(Callbacks));
+  }
+
+  template <typename Predicate> bool runUntil(Predicate Holds) {
+    auto Deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!Holds() && std::chrono::steady_clock::now() < Deadline)
+      this->Loop.run_one_for(std::chrono::milliseconds(20));
+    return Holds();
+  }
+
+  /// Reads a whole request from the connection and answers it.
+  void answer(std::size_t Index, const std::string &Bytes) {
+    ASSERT_TRUE(this->runUntil([&] { return this->Accepted.size() > Index; }));
+    bool Got = false;
+    asio::streambuf Request;
+    asio::async_read_until(*this->Accepted[Index], Request, "body",
+                           [&](asio::error_code, std::size_t) { Got = true; });
+    ASSERT_TRUE(this->runUntil([&] { return Got; }));
+    asio::write(*this->Accepted[Index], asio::buffer(Bytes));
+  }
+
+  static constexpr const char *Whole =
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok";
+
+  asio::io_context Loop;
+  tcp::acceptor Listener{Loop};
+  std::vector<std::shared_ptr<tcp::socket>> Accepted;
+  Peer To;
+  std::unique_ptr<ForwardClient> Client;
+  std::optional<ForwardResult> Result;
+  std::string Body;
+};
+
+} // namespace
+
+TEST_F(ForwardClientTest, AKeptConnectionServesTheNextRequest) {
+  this->ask();
+  this->answer(0, Whole);
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  EXPECT_EQ(this->Result->End, ForwardEnd::Complete);
+  this->ask();
+  this->answer(0, Whole);
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  EXPECT_TRUE(this->Result->Reused);
+  EXPECT_EQ(this->Body, "okok");
+  EXPECT_EQ(this->Client->counts().Connected, 1U);
+}
+
+/// What libcurl does not do: a request on a kept connection that ends without
+/// an answer may have run, and is not sent again.
+TEST_F(ForwardClientTest, AKeptConnectionThatEndsDoesNotRepeatTheRequest) {
+  this->ask();
+  this->answer(0, Whole);
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  this->ask();
+  bool Sent = false;
+  this->Accepted[0]->async_wait(tcp::socket::wait_read,
+                                [&](asio::error_code) { Sent = true; });
+  ASSERT_TRUE(this->runUntil([&] { return Sent; }));
+  this->Accepted[0]->close();
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  EXPECT_EQ(this->Result->End, ForwardEnd::Cut);
+  EXPECT_TRUE(this->Result->MayHaveBeenSent);
+  EXPECT_EQ(this->Accepted.size(), 1U);
+}
+
+/// A second answer that nobody asked for belongs to no request.
+TEST_F(ForwardClientTest, AConnectionWithASecondAnswerIsNotUsedAgain) {
+  this->ask();
+  this->answer(0, std::string(Whole) + Whole);
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  this->ask();
+  this->answer(1, Whole);
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  EXPECT_FALSE(this->Result->Reused);
+  EXPECT_EQ(this->Body, "okok");
+}
+
+TEST_F(ForwardClientTest, AnAnswerThatComesLateIsNotTakenForTheNext) {
+  this->ask();
+  this->answer(0, Whole);
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  asio::write(*this->Accepted[0], asio::buffer(std::string(Whole)));
+  this->Loop.run_for(std::chrono::milliseconds(50));
+  this->ask();
+  this->answer(1, Whole);
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  EXPECT_FALSE(this->Result->Reused);
+}
+
+TEST_F(ForwardClientTest, ACutAnswerIsNotWhole) {
+  this->ask();
+  this->answer(0, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok");
+  this->Accepted[0]->close();
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  EXPECT_EQ(this->Result->End, ForwardEnd::Cut);
+}
+
+TEST_F(ForwardClientTest, BytesThatAreNoAnswerAreSaidSo) {
+  this->ask();
+  this->answer(0, "nonsense\r\n\r\n");
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  EXPECT_EQ(this->Result->End, ForwardEnd::Malformed);
+}
+
+TEST_F(ForwardClientTest, ARefusedConnectionSentNothing) {
+  this->Listener.close();
+  this->ask();
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  EXPECT_EQ(this->Result->End, ForwardEnd::CannotConnect);
+  EXPECT_FALSE(this->Result->MayHaveBeenSent);
+}
+
+TEST_F(ForwardClientTest, TheHandleOfAnEndedCallDoesNotCancelTheNext) {
+  auto First = this->ask();
+  this->answer(0, Whole);
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  this->ask();
+  First->cancel();
+  this->answer(0, Whole);
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  EXPECT_EQ(this->Result->End, ForwardEnd::Complete);
+}
--- /dev/null
+++ b/src/residency/tests/holderleasetest.cpp
@@ -0,0 +1,140 @@
+#include "residency/holderlease.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+
+using namespace kingcuphub;
+using namespace kingcuphub::residency;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A store that takes an append only at its end, instances that read it now
+/// and then, and answers that are lost.
+class LeaseWorld {
+public:
+  explicit LeaseWorld(std::uint64_t Seed) : Random(Seed) {
+    for (std::uint64_t Index = 0; Index < Instances; ++Index) {
+      this->Leases.emplace_back(
+          base::InstanceId{std::to_string(Index)}, base::Incarnation{1}, "",
+          HolderLeaseSettings{}, Seed + Index);
+      this->Frozen.push_back(false);
+    }
+  }
+
+  void step() {
+    this->Now += milliseconds(50);
+    for (std::size_t Index = 0; Index < Instances; ++Index)
+      if (!this->Frozen[Index])
+        this->act(Index);
+    std::size_t Holders = 0;
+    for (std::size_t Index = 0; Index < Instances; ++Index)
+      if (auto Token = this->Leases[Index].held(this->Now)) {
+        ++Holders;
+        // A holder that comes later has the higher token.
+        RC_ASSERT(Token->Value >= this->Highest);
+        this->Highest = Token->Value;
+      }
+    RC_ASSERT(Holders <= 1U);
+    this->HeldSteps += Holders;
+  }
+
+  void freeze(std::size_t Index, bool Frozen) { this->Frozen[Index] = Frozen; }
+  void setReachable(bool Reachable) { this->Reachable = Reachable; }
+
+  std::size_t HeldSteps = 0;
+  static constexpr std::size_t Instances = 4;
+
+private:
+  void act(std::size_t Index) {
+    HolderLease &Lease = this->Leases[Index];
+    bool Reads = this->Reachable && this->draw(4) == 0;
+    if (Reads)
+      Lease.onRead(this->Record, {this->End}, this->Now);
+    auto Append = Lease.tick(Instances, this->Now);
+    if (!Append)
+      return;
+    bool Taken = this->Reachable && Append->At.Value == this->End;
+    if (Taken) {
+      this->Record = Append->Record;
+      ++this->End;
+    }
+    bool AnswerLost = this->draw(5) == 0;
+    if (Taken && !AnswerLost)
+      Lease.onAppended(*Append, this->Now);
+    else
+      Lease.onNotAppended(*Append);
+  }
+
+  std::uint64_t draw(std::uint64_t Below) { return this->Random() % Below; }
+
+  std::mt19937_64 Random;
+  base::TimePoint Now{std::chrono::hours(1)};
+  std::vector<HolderLease> Leases;
+  std::vector<bool> Frozen;
+  std::optional<LeaseRecord> Record;
+  std::uint64_t End = 0;
+  std::uint64_t Highest = 0;
+  bool Reachable = true;
+};
+
+} // namespace
+
+/// Instances freeze and wake, answers are lost and the store goes away: at most
+/// one holds the lease, and tokens only rise.
+RC_GTEST_PROP(HolderLeaseTest, AtMostOneHoldsTheLease, ()) {
+  LeaseWorld World(*rc::gen::arbitrary<std::uint64_t>());
+  for (int Round = 0; Round < 12; ++Round) {
+    World.freeze(*rc::gen::inRange<std::size_t>(0, LeaseWorld::Instances),
+                 *rc::gen::arbitrary<bool>());
+    World.setReachable(*rc::gen::inRange(0, 4) != 0);
+    int Steps = *rc::gen::inRange(1, 200);
+    for (int Step = 0; Step < Steps; ++Step)
+      World.step();
+  }
+}
+
+TEST(HolderLeaseTest, SomebodyHoldsItInCalm) {
+  LeaseWorld World(3);
+  for (int Step = 0; Step < 400; ++Step)
+    World.step();
+  EXPECT_GE(World.HeldSteps, 350U);
+}
+
+TEST(HolderLeaseTest, ALeaseCountsFromBeforeItsRenewalWasSent) {
+  HolderLease Lease({"a"}, {1}, "", {}, 1);
+  base::TimePoint Now{std::chrono::hours(1)};
+  Lease.onRead(std::nullopt, {0}, Now);
+  Now += milliseconds(600);
+  auto Sent = Lease.tick(1, Now);
+  ASSERT_TRUE(Sent);
+  Lease.onAppended(*Sent, Now + milliseconds(900));
+  EXPECT_TRUE(Lease.held(Now + milliseconds(2999)));
+  EXPECT_FALSE(Lease.held(Now + milliseconds(3000)));
+}
+
+TEST(HolderLeaseTest, AReleasedLeaseIsClaimedSoon) {
+  HolderLease Lease({"b"}, {1}, "", {}, 1);
+  base::TimePoint Now{std::chrono::hours(1)};
+  LeaseRecord Record;
+  Record.Holder = {"a"};
+  Record.Released = true;
+  Lease.onRead(Record, {5}, Now);
+  auto Claim = Lease.tick(1, Now + milliseconds(500));
+  ASSERT_TRUE(Claim);
+  EXPECT_EQ(Claim->At.Value, 5U);
+  EXPECT_EQ(Claim->Record.Token.Value, 6U);
+}
+
+TEST(HolderLeaseTest, AFencedHolderHoldsNothing) {
+  HolderLease Lease({"a"}, {1}, "", {}, 1);
+  base::TimePoint Now{std::chrono::hours(1)};
+  Lease.onRead(std::nullopt, {0}, Now);
+  Now += milliseconds(600);
+  auto Sent = Lease.tick(1, Now);
+  ASSERT_TRUE(Sent);
+  Lease.onAppended(*Sent, Now);
+  Lease.onFenced();
+  EXPECT_FALSE(Lease.held(Now));
+}
