--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -142,8 +142,8 @@
   /// One line for each account whose limit differs from what was believed.
   void logAccounts(const catalog::Catalog &New) const {
     for (const auto &[Id, Each] : New.Accounts) {
-      auto Known = this->Catalog ? this->Catalog->Accounts.find(Id)
-                                 : New.Accounts.end();
+      auto Known =
+          this->Catalog ? this->Catalog->Accounts.find(Id) : New.Accounts.end();
       bool Same = this->Catalog && Known != this->Catalog->Accounts.end() &&
                   Known->second.RatePerSecond == Each.RatePerSecond &&
                   Known->second.Burst == Each.Burst;
--- a/src/dispatch/internal/usagepool.cpp
+++ b/src/dispatch/internal/usagepool.cpp
@@ -46,9 +46,9 @@
   if (New)
     Of.At = this->StartedAt;
   double Passed = Seconds(Now - Of.At).count();
-  Of.Level = std::min(Of.Level + this->wholeRate(Account, Now) *
-                                     std::max(0.0, Passed),
-                      Account.Burst);
+  Of.Level =
+      std::min(Of.Level + this->wholeRate(Account, Now) * std::max(0.0, Passed),
+               Account.Burst);
   Of.At = Now;
   while (!Of.InWindow.empty() &&
          Of.InWindow.front().At + this->Settings.Window <= Now) {
@@ -82,8 +82,8 @@
                              std::int64_t Amount, base::TimePoint Now) {
   Pool &Of = this->refilled(Account, Now);
   double InWindow = this->windowLimit(Account) - Of.WindowSum;
-  auto Level = static_cast<std::int64_t>(
-      std::max(0.0, std::min(Of.Level, InWindow)));
+  auto Level =
+      static_cast<std::int64_t>(std::max(0.0, std::min(Of.Level, InWindow)));
   CreditGrant Out;
   std::int64_t Least = std::min(Amount, this->Settings.LeastGrant);
   if (Level >= Least)
--- a/src/dispatch/tests/targetboardtest.cpp
+++ b/src/dispatch/tests/targetboardtest.cpp
@@ -160,7 +160,8 @@
     std::size_t Most = 0;
     for (std::size_t First = 0; First < Sent.size(); ++First) {
       std::size_t Last = First;
-      while (Last < Sent.size() && Sent[Last] < Sent[First] + milliseconds(1000))
+      while (Last < Sent.size() &&
+             Sent[Last] < Sent[First] + milliseconds(1000))
         ++Last;
       Most = std::max(Most, Last - First);
     }
--- /dev/null
+++ b/src/forwarding/tests/forwardertest.cpp
@@ -0,0 +1,429 @@
+#include "forwarding/forwarder.h"
+#include "base/hashing.h"
+#include "forwarding/eventframer.h"
+#include "http/httpclient.h"
+
+#include <asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace kingcuphub;
+using namespace kingcuphub::forwarding;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A protocol with as few headers as the tests need.
+class TestDialect final : public Dialect {
+public:
+  base::Result<dispatch::RequestFacts>
+  readRequest(const http::Request &Asked) const override {
+    dispatch::RequestFacts Out;
+    Out.Id.Value = Asked.header("Id");
+    Out.Secret = Asked.header("Key");
+    Out.Model.Value = Asked.header("Model");
+    Out.PromptTokens = base::Tokens{100};
+    Out.TimeLeft = milliseconds(2000);
+    return Out;
+  }
+
+  std::vector<http::Header>
+  requestHeaders(const http::Request &Asked,
+                 const SendFacts &Facts) const override {
+    return {{"Host", "h"},
+            {"Id", std::string(Asked.header("Id"))},
+            {"Account", Facts.Account.Value},
+            {"After", Facts.LastEventId}};
+  }
+
+  AnswerFacts readAnswer(const http::MessageHead &Head) const override {
+    AnswerFacts Out;
+    Out.Id.Value = Head.header("Id");
+    Out.NotRun = !Head.header("Not-Run").empty();
+    Out.Misdirected = Head.Status == 421;
+    Out.Proven = !Head.header("Proof").empty();
+    return Out;
+  }
+
+  std::vector<http::Header>
+  answerHeaders(const http::MessageHead &Head) const override {
+    return {{"Proof", std::string(Head.header("Proof"))}};
+  }
+
+  http::Response refusal(const base::RequestId &,
+                         const Refusal &Why) const override {
+    http::Response Out{Why.Status, {}, std::string(Why.Reason)};
+    if (Why.RetryAfter)
+      Out.Headers.push_back(
+          {"Retry-After-Ms", std::to_string(Why.RetryAfter->count())});
+    return Out;
+  }
+};
+
+/// A target whose behaviour the test gives.
+struct FakeTarget {
+  std::unique_ptr<http::HttpServer> Server;
+  std::function<void(const http::Request &, const http::ResponseWriterPtr &)>
+      Act;
+  std::vector<http::Request> Got;
+};
+
+/// Caller, forwarder and two targets on one loop.
+class ForwarderTest : public testing::Test {
+protected:
+  void SetUp() override {
+    for (FakeTarget &Each : this->Targets) {
+      Each.Act = whole(200);
+      Each.Server = this->listen(
+          [&Each](http::Request Asked, const http::ResponseWriterPtr &Answer) {
+            Each.Got.push_back(Asked);
+            Each.Act(Asked, Answer);
+          });
+    }
+    this->Traffic = makeForwarder(this->Loop, {}, this->Protocol, this->Clock,
+                                  this->Metrics);
+    this->Traffic->setEvents(
+        {[] {},
+         [this](std::vector<admission::CreditCommand> Commands) {
+           for (auto &Each : Commands)
+             this->Credits.push_back(Each);
+         }});
+    this->Front = this->listen(
+        [this](http::Request Asked, http::ResponseWriterPtr Answer) {
+          this->Traffic->handle(std::move(Asked), std::move(Answer));
+        });
+    this->Http = http::makeHttpClient(this->Loop);
+  }
+
+  std::unique_ptr<http::HttpServer> listen(http::RequestHandler Handler) {
+    auto Started = http::startHttpServer(this->Loop, {}, std::move(Handler));
+    EXPECT_TRUE(Started);
+    return std::move(*Started);
+  }
+
+  /// Puts catalog and targets in force.
+  void configure(catalog::Repetition Repeats, bool Streaming = false) {
+    auto New = std::make_shared<catalog::Catalog>();
+    catalog::Route Route;
+    Route.Id = {"r"};
+    Route.Host = "127.0.0.1";
+    Route.PathPrefix = "/";
+    Route.Repeats = Repeats;
+    Route.Streaming = Streaming;
+    Route.MaxTargets = 2;
+    Route.Timeout = milliseconds(1500);
+    Route.Objective = milliseconds(100);
+    Route.PauseObjective = milliseconds(100);
+    Route.Services = {{{"s"}, 1}};
+    New->Routes = {Route};
+    New->Services[{"s"}].Id = {"s"};
+    if (this->Limit > 0) {
+      catalog::Account Account;
+      Account.Id = {"acme"};
+      Account.RatePerSecond = Account.Burst = this->Limit;
+      Account.CountsTokens = true;
+      New->Accounts[Account.Id] = Account;
+      New->AccountByKeyHash[catalog::keyHash("k")] = Account.Id;
+    }
+    this->Traffic->setCatalog(New);
+    catalog::TargetList List;
+    for (std::size_t Index = 0; Index < 2; ++Index) {
+      catalog::Target Target;
+      Target.Entry.Id = {"t" + std::to_string(Index)};
+      Target.Entry.Service = {"s"};
+      Target.Entry.Slots = 4;
+      Target.Entry.Address = {"127.0.0.1", this->Targets[Index].Server->port()};
+      List.Targets[Target.Entry.Id] = Target;
+    }
+    this->Traffic->setTargets(
+        std::make_shared<const catalog::TargetList>(List));
+  }
+
+  static std::function<void(const http::Request &,
+                            const http::ResponseWriterPtr &)>
+  whole(int Status, std::string Body = "ok") {
+    return [Status, Body](const http::Request &Asked,
+                          const http::ResponseWriterPtr &Answer) {
+      Answer->respond(
+          {Status,
+           {{"Id", std::string(Asked.header("Id"))}, {"Proof", "p"}},
+           Body});
+    };
+  }
+
+  static std::function<void(const http::Request &,
+                            const http::ResponseWriterPtr &)>
+  unrun(int Status) {
+    return [Status](const http::Request &, const http::ResponseWriterPtr &To) {
+      To->respond({Status, {{"Not-Run", "1"}}, ""});
+    };
+  }
+
+  static void hangUp(const http::Request &, const http::ResponseWriterPtr &To) {
+    To->abort();
+  }
+
+  /// Events of ids \p First to \p Last, and then the end or a cut.
+  static std::function<void(const http::Request &,
+                            const http::ResponseWriterPtr &)>
+  events(int First, int Last, bool Cut) {
+    return [First, Last, Cut](const http::Request &Asked,
+                              const http::ResponseWriterPtr &Answer) {
+      Answer->beginStream(
+          200, {{"Id", std::string(Asked.header("Id"))}, {"Proof", "p"}});
+      for (int Id = First; Id <= Last; ++Id)
+        Answer->write("id: " + std::to_string(Id) + "\ndata: x\n\n");
+      if (!Cut) {
+        Answer->finish();
+        return;
+      }
+      Answer->write("id: " + std::to_string(Last + 1) + "\nda");
+      Answer->abort();
+    };
+  }
+
+  void ask() {
+    http::ClientRequest Request;
+    Request.Method = "POST";
+    Request.Url =
+        "http://127.0.0.1:" + std::to_string(this->Front->port()) + "/x";
+    Request.Headers = {{"Id", "q" + std::to_string(++this->Asked)},
+                       {"Key", "k"}};
+    Request.Body = "body";
+    this->Got.reset();
+    this->Http->fetch(Request, [this](const http::TransferResult &Result,
+                                      http::Response Whole) {
+      this->End = Result.End;
+      this->Got = std::move(Whole);
+    });
+  }
+
+  void wait() {
+    auto Deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!this->Got && std::chrono::steady_clock::now() < Deadline)
+      this->Loop.run_one_for(milliseconds(20));
+    ASSERT_TRUE(this->Got);
+  }
+
+  /// Answers the next ask for credit.
+  void answerAsk(dispatch::CreditGrant Grant) {
+    this->Credits.clear();
+    auto Deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (this->Credits.empty() && std::chrono::steady_clock::now() < Deadline)
+      this->Loop.run_one_for(milliseconds(20));
+    ASSERT_FALSE(this->Credits.empty());
+    auto *Ask = std::get_if<admission::AskCredit>(&this->Credits.back());
+    ASSERT_NE(Ask, nullptr);
+    this->Traffic->onCredits({{{"acme"}, Grant, Ask->Request}});
+  }
+
+  std::size_t arrivals() const {
+    return this->Targets[0].Got.size() + this->Targets[1].Got.size();
+  }
+
+  void bothAct(std::function<void(const http::Request &,
+                                  const http::ResponseWriterPtr &)>
+                   Act) {
+    for (FakeTarget &Each : this->Targets)
+      Each.Act = Act;
+  }
+
+  asio::io_context Loop;
+  base::SystemClock Clock;
+  metrics::Registry Metrics;
+  TestDialect Protocol;
+  std::array<FakeTarget, 2> Targets;
+  std::unique_ptr<Forwarder> Traffic;
+  std::unique_ptr<http::HttpServer> Front;
+  std::unique_ptr<http::HttpClient> Http;
+  std::vector<admission::CreditCommand> Credits;
+  double Limit = 0;
+  int Asked = 0;
+  std::optional<http::Response> Got;
+  http::TransferEnd End = http::TransferEnd::Complete;
+};
+
+} // namespace
+
+TEST_F(ForwarderTest, BeforeItKnowsAnythingItSaysSoAndNothingElse) {
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 503);
+  EXPECT_NE(http::findHeader(this->Got->Headers, "Retry-After-Ms"), "");
+}
+
+TEST_F(ForwarderTest, ARequestIsPassedOnAsItCame) {
+  this->configure(catalog::Repetition::Never);
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 200);
+  EXPECT_EQ(this->Got->Body, "ok");
+  const http::Request &Seen = this->Targets[0].Got.empty()
+                                  ? this->Targets[1].Got.at(0)
+                                  : this->Targets[0].Got.at(0);
+  EXPECT_EQ(Seen.Method, "POST");
+  EXPECT_EQ(Seen.Target, "/x");
+  EXPECT_EQ(Seen.Body, "body");
+}
+
+TEST_F(ForwarderTest, WhatMayRunOnceIsNotSentAgainAfterACut) {
+  this->configure(catalog::Repetition::Never);
+  this->bothAct(hangUp);
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 502);
+  EXPECT_EQ(this->arrivals(), 1U);
+}
+
+TEST_F(ForwarderTest, WhatMayRunOnceGoesElsewhereIfItCertainlyDidNotRun) {
+  this->configure(catalog::Repetition::Never);
+  this->Targets[0].Act = unrun(503);
+  this->Targets[1].Act = unrun(503);
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 503);
+  EXPECT_GE(this->arrivals(), 2U);
+  this->bothAct(whole(200));
+  this->Loop.run_for(milliseconds(150));
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 200);
+}
+
+TEST_F(ForwarderTest, AnIdempotentRequestIsSentElsewhereAfterAFailure) {
+  this->configure(catalog::Repetition::Idempotent);
+  this->Targets[0].Act = whole(500, "failed");
+  this->Targets[1].Act = hangUp;
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->arrivals(), 2U);
+  EXPECT_NE(this->Got->Status, 200);
+  this->bothAct(whole(200));
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 200);
+}
+
+TEST_F(ForwarderTest, AnAnswerToAnotherRequestIsNotDelivered) {
+  this->configure(catalog::Repetition::Never);
+  this->bothAct([](const http::Request &, const http::ResponseWriterPtr &To) {
+    To->respond({200, {{"Id", "other"}, {"Proof", "p"}}, "foreign"});
+  });
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 502);
+}
+
+TEST_F(ForwarderTest, ASuccessWithoutTheTargetsProofIsNotDelivered) {
+  this->configure(catalog::Repetition::Never);
+  this->bothAct(
+      [](const http::Request &Asked, const http::ResponseWriterPtr &To) {
+        To->respond({200, {{"Id", std::string(Asked.header("Id"))}}, "bare"});
+      });
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 502);
+}
+
+TEST_F(ForwarderTest, AResumableStreamGoesOnBehindItsLastWholeEvent) {
+  this->configure(catalog::Repetition::Resumable, true);
+  auto Act = [this](const http::Request &Asked,
+                    const http::ResponseWriterPtr &Answer) {
+    bool First = this->arrivals() == 1;
+    events(First ? 1 : 3, First ? 2 : 4, First)(Asked, Answer);
+  };
+  this->bothAct(Act);
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->End, http::TransferEnd::Complete);
+  EXPECT_EQ(this->Got->Body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+                             "id: 3\ndata: x\n\nid: 4\ndata: x\n\n");
+  ASSERT_EQ(this->arrivals(), 2U);
+  const FakeTarget &Second =
+      this->Targets[0].Got.empty() ||
+              this->Targets[0].Got[0].header("After").empty()
+          ? this->Targets[1]
+          : this->Targets[0];
+  EXPECT_EQ(Second.Got[0].header("After"), "2");
+}
+
+TEST_F(ForwarderTest, AStreamThatMayNotGoOnIsVisiblyCut) {
+  this->configure(catalog::Repetition::Never, true);
+  this->bothAct(events(1, 2, true));
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->End, http::TransferEnd::Cut);
+  EXPECT_EQ(this->arrivals(), 1U);
+}
+
+TEST_F(ForwarderTest, AtTheRoutesTimeoutTheCallerIsToldAndTheRunCancelled) {
+  this->configure(catalog::Repetition::Never);
+  bool Gone = false;
+  std::vector<http::ResponseWriterPtr> Kept;
+  this->bothAct([&](const http::Request &, const http::ResponseWriterPtr &To) {
+    Kept.push_back(To);
+    To->onClosed([&Gone] { Gone = true; });
+  });
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 504);
+  this->Loop.run_for(milliseconds(100));
+  EXPECT_TRUE(Gone);
+}
+
+TEST_F(ForwarderTest, AStoppingInstanceRefusesWhatItCouldNotFinish) {
+  this->configure(catalog::Repetition::Never);
+  this->Traffic->refuseNew();
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 503);
+  EXPECT_EQ(this->arrivals(), 0U);
+}
+
+/// The tokens of a stream that ended well are spent: they were put back, and
+/// the account could use them twice.
+TEST_F(ForwarderTest, TokensOfWhatRanAreNotPutBack) {
+  this->Limit = 150;
+  this->configure(catalog::Repetition::Never, true);
+  this->bothAct(events(1, 2, false));
+  this->Traffic->onCredits({});
+  this->ask();
+  this->answerAsk({150, milliseconds(0)});
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 200);
+  this->ask();
+  this->answerAsk({0, milliseconds(2000)});
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 429);
+  EXPECT_EQ(this->arrivals(), 1U);
+}
+
+TEST_F(ForwarderTest, AnUnknownKeyIsRefused) {
+  this->Limit = 150;
+  this->configure(catalog::Repetition::Never);
+  http::ClientRequest Request;
+  Request.Url = "http://127.0.0.1:" + std::to_string(this->Front->port()) + "/";
+  Request.Headers = {{"Id", "q"}, {"Key", "wrong"}};
+  this->Http->fetch(Request,
+                    [this](const http::TransferResult &, http::Response Whole) {
+                      this->Got = std::move(Whole);
+                    });
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 401);
+}
+
+/// However a stream is cut into pieces, the same whole events come out.
+RC_GTEST_PROP(EventFramerTest, WholeEventsComeOutOfAnyPieces, ()) {
+  const std::string Stream =
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid:3\ndata: c\n\nid: 4\nda";
+  EventFramer Framer;
+  std::string Out;
+  for (std::size_t At = 0; At < Stream.size();) {
+    auto Size = *rc::gen::inRange<std::size_t>(1, 12);
+    Out += Framer.feed(std::string_view(Stream).substr(At, Size));
+    At += Size;
+  }
+  RC_ASSERT(Out + Framer.rest() == Stream);
+  RC_ASSERT(Framer.rest() == "id: 4\nda");
+  RC_ASSERT(Framer.lastId() == "3");
+}
--- a/src/http/tests/forwardclienttest.cpp
+++ b/src/http/tests/forwardclienttest.cpp
@@ -24,7 +24,8 @@
   }
 
   void accept() {
-    this->Listener.async_accept([this](asio::error_code Failed, tcp::socket New) {
+    this->Listener.async_accept([this](asio::error_code Failed,
+                                       tcp::socket New) {
       if (Failed)
         return;
       this->Accepted.push_back(std::make_shared<tcp::socket>(std::move(New)));
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -61,8 +61,8 @@
   /// The newest record, or none, as read from the store with its end.
   void onRead(const std::optional<LeaseRecord> &Record, LeaseEnd End,
               base::TimePoint Now);
-  /// Takes the holder's own word on its lease: after the record before \p WordEnd
-  /// it is valid for \p Left at most, if nothing follows that record.
+  /// Takes the holder's own word on its lease: after the record before \p
+  /// WordEnd it is valid for \p Left at most, if nothing follows that record.
   void onWord(LeaseEnd WordEnd, std::chrono::milliseconds Left,
               base::TimePoint Now);
   /// How much longer the lease is held, as the holder may tell others.
--- a/src/residency/internal/demandbook.cpp
+++ b/src/residency/internal/demandbook.cpp
@@ -86,9 +86,8 @@
   Demand Out;
   const struct Entry &Of = Entry->second;
   Out.Work = Of.Work * fade(Of, this->Settings.Smoothing, Now);
-  Out.HeldWork =
-      std::max(Out.Work,
-               Of.SlowWork * fade(Of, this->Settings.HeldSmoothing, Now));
+  Out.HeldWork = std::max(
+      Out.Work, Of.SlowWork * fade(Of, this->Settings.HeldSmoothing, Now));
   Out.Recent = Now < Entry->second.AskedAt + this->Settings.RecentFor;
   Out.InUse = Now < Entry->second.AskedAt + this->Settings.InUseFor;
   for (const auto &[From, Told] : Entry->second.Waiting)
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -64,8 +64,8 @@
   Out.Record.Holder = this->Self;
   Out.Record.Incarnation = this->Incarnation;
   Out.Record.Number = this->NextNumber++;
-  Out.Record.Token =
-      this->claimedHere() ? this->Latest->Token : FencingToken{this->End->Value + 1};
+  Out.Record.Token = this->claimedHere() ? this->Latest->Token
+                                         : FencingToken{this->End->Value + 1};
   Out.Record.Released = Release;
   Out.Record.Endpoint = this->Endpoint;
   Out.Record.Instances = Instances;
@@ -93,8 +93,8 @@
   if (!this->Latest || this->Latest->Released)
     return this->SeenAt + this->Delay;
   bool ByWord = this->HolderWord && this->HolderWord->End == *this->End;
-  base::TimePoint Lapses = ByWord ? this->HolderWord->Until
-                                  : this->SeenAt + this->Settings.Duration;
+  base::TimePoint Lapses =
+      ByWord ? this->HolderWord->Until : this->SeenAt + this->Settings.Duration;
   return Lapses + this->Settings.Drift + this->Delay;
 }
 
--- a/src/residency/tests/enginebooktest.cpp
+++ b/src/residency/tests/enginebooktest.cpp
@@ -70,7 +70,8 @@
 } // namespace
 
 TEST_F(EngineBookTest, ALoadTakesItsMemoryBeforeItIsAnswered) {
-  ASSERT_TRUE(this->Book.begin(Engine1, OrderKind::Load, ModelB, {1}, this->Now));
+  ASSERT_TRUE(
+      this->Book.begin(Engine1, OrderKind::Load, ModelB, {1}, this->Now));
   EXPECT_EQ(this->view().TakenMb, 80);
   EXPECT_FALSE(this->view().TakesModelOrder);
 }
@@ -130,7 +131,8 @@
       this->Book.begin(Engine1, OrderKind::Load, AdapterX, {1}, this->Now);
   this->Book.onAnswer(*Sent, OrderAnswer::Accepted, this->Now);
   auto Holds = [this] {
-    return this->Book.held(this->Now)[Engine1].second[ModelA.Model]
+    return this->Book.held(this->Now)[Engine1]
+        .second[ModelA.Model]
         .Adapters.count(AdapterX.Adapter);
   };
   EXPECT_EQ(Holds(), 0U);
--- a/src/residency/tests/holderleasetest.cpp
+++ b/src/residency/tests/holderleasetest.cpp
@@ -16,9 +16,9 @@
 public:
   explicit LeaseWorld(std::uint64_t Seed) : Random(Seed) {
     for (std::uint64_t Index = 0; Index < Instances; ++Index) {
-      this->Leases.emplace_back(
-          base::InstanceId{std::to_string(Index)}, base::Incarnation{1}, "",
-          HolderLeaseSettings{}, Seed + Index);
+      this->Leases.emplace_back(base::InstanceId{std::to_string(Index)},
+                                base::Incarnation{1}, "", HolderLeaseSettings{},
+                                Seed + Index);
       this->Frozen.push_back(false);
     }
   }
