--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -101,11 +101,8 @@
       return;
     }
     auto Once = std::make_shared<std::function<void()>>(std::move(Done));
-    auto Finish = [this, Live = this->Alive, Once] {
-      if (*Live) {
-        this->Holding.leave();
-        this->Holding.checkLease();
-      }
+    this->Holding.leave();
+    auto Finish = [Once] {
       if (auto Call = std::exchange(*Once, nullptr))
         Call();
     };
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -51,7 +51,10 @@
   if (Held == this->Token)
     return;
   base::logEvent(base::LogLevel::Info, Held ? "lease-gained" : "lease-lost",
-                 {{"token", Held ? Held->Value : this->Token->Value}});
+                 {{"token", Held ? Held->Value : this->Token->Value},
+                  {"engines", this->Holder.engines().views(Now).size()},
+                  {"catalog",
+                   this->Catalog ? this->Catalog->Version.Value : 0}});
   this->Token = Held;
   this->Holder.setLease(Held, Now);
   if (!Held)
@@ -242,6 +245,9 @@
                const std::optional<residency::EngineReport> &Report) {
         if (!*Live)
           return;
+        if (!Report)
+          base::logEvent(base::LogLevel::Warn, "engine-silent",
+                         {{"target", Id.Value}});
         this->Holder.onReport(Id, Report, this->Clock.now());
         this->tick();
       });
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -612,10 +612,6 @@
                                   this->now());
   else
     this->Context.Board.onFull(From, this->now());
-  if (this->Begun) {
-    this->abort("resumption-refused");
-    return;
-  }
   bool Again = this->Unrun < MaxUnrun &&
                this->now() + LeastAttempt < this->AnswerBy &&
                this->payForRepeat();
@@ -623,7 +619,9 @@
     this->dispatch();
     return;
   }
-  if (this->Runs > 0)
+  if (this->Begun)
+    this->abort("resumption-refused");
+  else if (this->Runs > 0)
     this->refuse(BadGateway, "refused-by-target");
   else
     this->refuse(Unavailable, "refused-by-target",
@@ -686,6 +684,17 @@
 
 // --- Time ------------------------------------------------------------------
 
+/// Silence alone is no reason to end an attempt: another target has to be there
+/// that takes the request now.
+bool Exchange::isReplaceable() {
+  std::set<base::TargetId> Others = this->Tried;
+  Others.insert(*this->Target);
+  dispatch::TargetQuery Query = this->query();
+  Query.Exclude = &Others;
+  return std::holds_alternative<dispatch::SendTo>(
+      this->Context.Board.choose(Query, this->now()));
+}
+
 std::chrono::milliseconds Exchange::silenceLimit() const {
   const ForwarderSettings &Settings = this->Context.Settings;
   auto Objective =
@@ -726,7 +735,7 @@
     return;
   }
   bool Silent = this->Target && Now >= this->ProgressAt + this->silenceLimit();
-  if (Silent && this->mayRepeat(this->Runs + 1))
+  if (Silent && this->mayRepeat(this->Runs + 1) && this->isReplaceable())
     this->breakAttempt("silence");
   if (!this->Ended)
     this->watch();
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -93,6 +93,7 @@
   void watch();
   void onTimer();
   std::chrono::milliseconds silenceLimit() const;
+  bool isReplaceable();
 
   void
   refuse(int Status, std::string_view Reason,
--- a/src/forwarding/tests/forwardertest.cpp
+++ b/src/forwarding/tests/forwardertest.cpp
@@ -126,8 +126,14 @@
       New->AccountByKeyHash[catalog::keyHash("k")] = Account.Id;
     }
     this->Traffic->setCatalog(New);
+    this->listTargets(2);
+  }
+
+  void onlyOneTarget() { this->listTargets(1); }
+
+  void listTargets(std::size_t Count) {
     catalog::TargetList List;
-    for (std::size_t Index = 0; Index < 2; ++Index) {
+    for (std::size_t Index = 0; Index < Count; ++Index) {
       catalog::Target Target;
       Target.Entry.Id = {"t" + std::to_string(Index)};
       Target.Entry.Service = {"s"};
@@ -371,6 +377,31 @@
   EXPECT_TRUE(Gone);
 }
 
+/// A target is silent while no other can take the stream: it is not cut for
+/// that, and goes on once the target does.
+TEST_F(ForwarderTest, ASilentStreamIsKeptWhileNoOtherTargetIsThere) {
+  this->configure(catalog::Repetition::Resumable, true);
+  http::ResponseWriterPtr Kept;
+  this->Targets[0].Act = [&](const http::Request &Asked,
+                             const http::ResponseWriterPtr &To) {
+    Kept = To;
+    To->beginStream(
+        200, {{"Id", std::string(Asked.header("Id"))}, {"Proof", "p"}});
+    To->write("id: 1\ndata: x\n\n");
+  };
+  this->Targets[1].Act = this->Targets[0].Act;
+  this->onlyOneTarget();
+  this->ask();
+  this->Loop.run_for(milliseconds(1100));
+  ASSERT_TRUE(Kept);
+  EXPECT_FALSE(this->Got);
+  Kept->write("id: 2\ndata: x\n\n");
+  Kept->finish();
+  this->wait();
+  EXPECT_EQ(this->End, http::TransferEnd::Complete);
+  EXPECT_EQ(this->arrivals(), 1U);
+}
+
 TEST_F(ForwarderTest, AStoppingInstanceRefusesWhatItCouldNotFinish) {
   this->configure(catalog::Repetition::Never);
   this->Traffic->refuseNew();
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -13,6 +13,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds StopCheckInterval{50};
+/// One renewal may fail before the lease lapses.
+constexpr int RenewalsPerLease = 3;
 /// The time without an open request after which a stopping instance ends.
 constexpr milliseconds QuietBeforeEnd{300};
 
@@ -83,6 +85,7 @@
         this->Clock.wallNow().time_since_epoch().count());
     Out.LinkEndpoint = "tcp://" + this->Options.Link.text();
     Out.Lease.Duration = this->Options.Lease;
+    Out.Lease.RenewEvery = this->Options.Lease / RenewalsPerLease;
     Out.Usage.Window = this->Options.UsageWindow;
     return Out;
   }
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -46,7 +46,9 @@
   base::Endpoint Store;
   StopSettings Stop;
   RepeatSettings Repeats;
-  std::chrono::milliseconds Lease{3000};
+  /// How long the holder's lease lasts: short, as nobody gives orders between
+  /// a holder's death and its end, and long against a slow answer of the store.
+  std::chrono::milliseconds Lease{1800};
   /// The span over which accounts' limits hold.
   std::chrono::milliseconds UsageWindow{8000};
   base::LogLevel Level = base::LogLevel::Info;
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -92,6 +92,9 @@
 base::TimePoint HolderLease::mayClaimAt() const {
   if (!this->Latest || this->Latest->Released)
     return this->SeenAt + this->Delay;
+  // An earlier life of this very instance has ended.
+  if (this->Latest->Holder == this->Self)
+    return this->SeenAt;
   bool ByWord = this->HolderWord && this->HolderWord->End == *this->End;
   base::TimePoint Lapses =
       ByWord ? this->HolderWord->Until : this->SeenAt + this->Settings.Duration;
--- a/src/residency/tests/holderleasetest.cpp
+++ b/src/residency/tests/holderleasetest.cpp
@@ -127,6 +127,18 @@
   EXPECT_EQ(Claim->Record.Token.Value, 6U);
 }
 
+/// All processes were killed at once: the one that held the lease does not wait
+/// for its own earlier life.
+TEST(HolderLeaseTest, ARestartedHolderClaimsAtOnce) {
+  HolderLease Lease({"a"}, {2}, "", {}, 1);
+  base::TimePoint Now{std::chrono::hours(1)};
+  LeaseRecord Record;
+  Record.Holder = {"a"};
+  Record.Incarnation = {1};
+  Lease.onRead(Record, {5}, Now);
+  EXPECT_TRUE(Lease.tick(1, Now));
+}
+
 TEST(HolderLeaseTest, AFencedHolderHoldsNothing) {
   HolderLease Lease({"a"}, {1}, "", {}, 1);
   base::TimePoint Now{std::chrono::hours(1)};
