Targets that were read before the catalog are known to the holder

Load pattern: every process is killed at once and starts again. Change: a new catalog looks at the targets anew. The test TargetsThatCameBeforeTheCatalogAreKnown fails without the change.

--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -38,7 +38,7 @@
 
 void HolderSide::setCatalog(const catalog::CatalogPtr &New) {
   this->Catalog = New;
-  this->Holder.setCatalog(New);
+  this->Holder.setCatalog(New, this->Clock.now());
 }
 
 void HolderSide::setTargets(const catalog::TargetListPtr &New) {
@@ -50,11 +50,11 @@
   auto Held = this->Lease.held(Now);
   if (Held == this->Token)
     return;
-  base::logEvent(base::LogLevel::Info, Held ? "lease-gained" : "lease-lost",
-                 {{"token", Held ? Held->Value : this->Token->Value},
-                  {"engines", this->Holder.engines().views(Now).size()},
-                  {"catalog",
-                   this->Catalog ? this->Catalog->Version.Value : 0}});
+  base::logEvent(
+      base::LogLevel::Info, Held ? "lease-gained" : "lease-lost",
+      {{"token", Held ? Held->Value : this->Token->Value},
+       {"engines", this->Holder.engines().views(Now).size()},
+       {"catalog", this->Catalog ? this->Catalog->Version.Value : 0}});
   this->Token = Held;
   this->Holder.setLease(Held, Now);
   if (!Held)
--- a/src/forwarding/tests/forwardertest.cpp
+++ b/src/forwarding/tests/forwardertest.cpp
@@ -385,8 +385,8 @@
   this->Targets[0].Act = [&](const http::Request &Asked,
                              const http::ResponseWriterPtr &To) {
     Kept = To;
-    To->beginStream(
-        200, {{"Id", std::string(Asked.header("Id"))}, {"Proof", "p"}});
+    To->beginStream(200,
+                    {{"Id", std::string(Asked.header("Id"))}, {"Proof", "p"}});
     To->write("id: 1\ndata: x\n\n");
   };
   this->Targets[1].Act = this->Targets[0].Act;
--- a/src/residency/enginebook.h
+++ b/src/residency/enginebook.h
@@ -61,7 +61,8 @@
 public:
   explicit EngineBook(EngineBookSettings Settings) : Settings(Settings) {}
 
-  void setCatalog(catalog::CatalogPtr New) { this->Catalog = std::move(New); }
+  /// Catalog and targets come in any order, and either may not change again.
+  void setCatalog(catalog::CatalogPtr New, base::TimePoint Now);
   void setTargets(const catalog::TargetListPtr &New, base::TimePoint Now);
   /// Forgets what is known of orders' effects and asks every engine anew.
   void start();
--- a/src/residency/holder.h
+++ b/src/residency/holder.h
@@ -41,7 +41,7 @@
       : Settings(Settings), Demand(Settings.Demand), Engines(Settings.Engines) {
   }
 
-  void setCatalog(const catalog::CatalogPtr &New);
+  void setCatalog(const catalog::CatalogPtr &New, base::TimePoint Now);
   void setTargets(const catalog::TargetListPtr &New, base::TimePoint Now);
   /// The lease was gained under \p Token, or lost.
   void setLease(std::optional<FencingToken> NewToken, base::TimePoint Now);
--- a/src/residency/internal/enginebook.cpp
+++ b/src/residency/internal/enginebook.cpp
@@ -62,6 +62,12 @@
   return Found == this->Targets->Targets.end() ? nullptr : &Found->second;
 }
 
+void EngineBook::setCatalog(catalog::CatalogPtr New, base::TimePoint Now) {
+  this->Catalog = std::move(New);
+  if (this->Targets)
+    this->setTargets(catalog::TargetListPtr(this->Targets), Now);
+}
+
 void EngineBook::setTargets(const catalog::TargetListPtr &New,
                             base::TimePoint Now) {
   this->Targets = New;
--- a/src/residency/internal/holder.cpp
+++ b/src/residency/internal/holder.cpp
@@ -4,9 +4,9 @@
 
 namespace kingcuphub::residency {
 
-void Holder::setCatalog(const catalog::CatalogPtr &New) {
+void Holder::setCatalog(const catalog::CatalogPtr &New, base::TimePoint Now) {
   this->Catalog = New;
-  this->Engines.setCatalog(New);
+  this->Engines.setCatalog(New, Now);
 }
 
 void Holder::setTargets(const catalog::TargetListPtr &New,
--- a/src/residency/tests/enginebooktest.cpp
+++ b/src/residency/tests/enginebooktest.cpp
@@ -37,7 +37,7 @@
 class EngineBookTest : public testing::Test {
 protected:
   void SetUp() override {
-    this->Book.setCatalog(makeCatalog());
+    this->Book.setCatalog(makeCatalog(), this->Now);
     this->setLifetime(1);
     this->report({{ModelA.Model, {}}}, 0);
   }
@@ -76,6 +76,22 @@
   EXPECT_FALSE(this->view().TakesModelOrder);
 }
 
+/// After a restart the targets may be read before the catalog, and the list may
+/// not change again: the holder then knew no engine, and gave no orders.
+TEST(EngineBookOrderTest, TargetsThatCameBeforeTheCatalogAreKnown) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  EngineBook Book{EngineBookSettings{}};
+  auto List = std::make_shared<catalog::TargetList>();
+  catalog::Target Target;
+  Target.Entry.Id = Engine1;
+  Target.Entry.Lifetime = {1};
+  Target.Entry.Service = Pool;
+  List->Targets[Engine1] = Target;
+  Book.setTargets(List, Now);
+  Book.setCatalog(makeCatalog(), Now);
+  EXPECT_EQ(Book.views(Now).size(), 1U);
+}
+
 TEST_F(EngineBookTest, AnOrderWithoutAnAnswerIsSentAgainAsItWas) {
   auto Sent =
       this->Book.begin(Engine1, OrderKind::Load, ModelB, {1}, this->Now);
