--- a/src/agent/context.h
+++ b/src/agent/context.h
@@ -16,9 +16,9 @@
 #include "agent/targetreports.h"
 #include "base/clock.h"
 #include "http/httpclient.h"
+#include "logservice/instancelist.h"
+#include "logservice/logclient.h"
 #include "messaging/messaging.h"
-#include "platform/instancelist.h"
-#include "platform/logclient.h"
 
 #include <asio/io_context.hpp>
 
@@ -32,8 +32,8 @@
   const Identity &Self;
   http::HttpClient &Http;
   messaging::Messaging &Messaging;
-  platform::LogClient &Log;
-  platform::InstanceListClient &Instances;
+  logservice::LogClient &Log;
+  logservice::InstanceListClient &Instances;
   PeerPort &Peers;
   ConfigFeed &Config;
   SystemFeed &System;
--- a/src/agent/internal/agent.cpp
+++ b/src/agent/internal/agent.cpp
@@ -77,9 +77,9 @@
         PeerMessaging(std::move(PeerMessaging)),
         LinkMessaging(std::move(LinkMessaging)),
         Http(http::makeHttpClient(Loop)),
-        Log(platform::makeLogClient(*this->Http, Settings.PlatformUrl)),
-        Instances(platform::makeInstanceListClient(*this->Http,
-                                                   Settings.PlatformUrl)),
+        Log(logservice::makeLogClient(*this->Http, Settings.PlatformUrl)),
+        Instances(logservice::makeInstanceListClient(*this->Http,
+                                                     Settings.PlatformUrl)),
         Config(Loop, Clock, *this->Log),
         System(Loop, Clock, *this->Log, this->Self),
         Reports(Loop, Clock, *this->Http, this->Config),
@@ -208,8 +208,8 @@
   std::unique_ptr<messaging::Messaging> PeerMessaging;
   std::unique_ptr<messaging::Messaging> LinkMessaging;
   std::unique_ptr<http::HttpClient> Http;
-  std::unique_ptr<platform::LogClient> Log;
-  std::unique_ptr<platform::InstanceListClient> Instances;
+  std::unique_ptr<logservice::LogClient> Log;
+  std::unique_ptr<logservice::InstanceListClient> Instances;
   PeerListener Peers;
   LogConfigFeed Config;
   LogSystemFeed System;
--- a/src/agent/internal/changes.cpp
+++ b/src/agent/internal/changes.cpp
@@ -36,10 +36,10 @@
 }
 
 Changes::Changes(asio::io_context &Loop, const base::Clock &Clock,
-                 platform::LogClient &Log, ConfigFeed &Config,
+                 logservice::LogClient &Log, ConfigFeed &Config,
                  FreshnessRule &Freshness)
     : Clock(Clock), Freshness(Freshness),
-      Appender(Clock, Log, platform::ConfigStream),
+      Appender(Clock, Log, logservice::ConfigStream),
       Timer(Loop, TimerInterval, [this] {
         this->Appender.onTimer();
         this->answerAcknowledged();
@@ -87,7 +87,7 @@
     Each.ReducedAt = this->Clock.now();
     return this->Freshness.confirm();
   }
-  bool Certain = Fate.error().Code == platform::PlatformErrc::Unavailable;
+  bool Certain = Fate.error().Code == logservice::PlatformErrc::Unavailable;
   Each.Answer.Outcome =
       Certain ? ChangeOutcome::Rejected : ChangeOutcome::Pending;
   Each.Answer.Why = Fate.error().Message;
--- a/src/agent/internal/changes.h
+++ b/src/agent/internal/changes.h
@@ -38,7 +38,7 @@
   using Done = std::function<void(const ChangeAnswer &)>;
 
   Changes(asio::io_context &Loop, const base::Clock &Clock,
-          platform::LogClient &Log, ConfigFeed &Config,
+          logservice::LogClient &Log, ConfigFeed &Config,
           FreshnessRule &Freshness);
 
   void start() { this->Timer.start(); }
--- a/src/agent/internal/logclaims.cpp
+++ b/src/agent/internal/logclaims.cpp
@@ -52,12 +52,12 @@
 } // namespace
 
 LogClaims::LogClaims(asio::io_context &Loop, const base::Clock &Clock,
-                     platform::LogClient &Log, const Identity &Self,
+                     logservice::LogClient &Log, const Identity &Self,
                      state::ClaimLimits Limits)
     : Clock(Clock), Self(Self), Reducer(Limits),
-      Appender(Clock, Log, platform::ClaimsStream),
-      Tailer(Loop, Clock, Log, platform::ClaimsStream, TailWait,
-             {[this](const platform::LogRecord &Record) {
+      Appender(Clock, Log, logservice::ClaimsStream),
+      Tailer(Loop, Clock, Log, logservice::ClaimsStream, TailWait,
+             {[this](const logservice::LogRecord &Record) {
                 return this->reduce(Record);
               },
               [] {},
@@ -156,7 +156,7 @@
     return this->answerDecided(OfRecord);
   // A result may be stored twice; the reducer keeps the first.
   this->Results.insert(this->Results.begin(), Taken.begin(), Taken.end());
-  bool Certain = Fate.error().Code == platform::PlatformErrc::Unavailable;
+  bool Certain = Fate.error().Code == logservice::PlatformErrc::Unavailable;
   wire::ClaimOutcome Outcome =
       Certain ? wire::CLAIM_OUTCOME_UNAVAILABLE : wire::CLAIM_OUTCOME_UNKNOWN;
   this->answerIf(OfRecord, [&](const PendingClaim &Each) {
@@ -195,7 +195,7 @@
                  });
 }
 
-bool LogClaims::reduce(const platform::LogRecord &Read) {
+bool LogClaims::reduce(const logservice::LogRecord &Read) {
   if (!this->Reducer.reduce(Read.Data)) {
     base::logEvent(base::LogLevel::Error, "claims_record_unreadable",
                    {{"offset", Read.At.Value},
--- a/src/agent/internal/logclaims.h
+++ b/src/agent/internal/logclaims.h
@@ -21,7 +21,7 @@
 class LogClaims final : public ClaimService {
 public:
   LogClaims(asio::io_context &Loop, const base::Clock &Clock,
-            platform::LogClient &Log, const Identity &Self,
+            logservice::LogClient &Log, const Identity &Self,
             state::ClaimLimits Limits = {});
 
   void start();
@@ -55,7 +55,7 @@
   /// Answers the claims that \p Chosen and that are decided; the rest go on
   /// waiting for the winner's result.
   void answerDecided(const std::function<bool(const PendingClaim &)> &Chosen);
-  bool reduce(const platform::LogRecord &Record);
+  bool reduce(const logservice::LogRecord &Record);
   /// \p MadeBy is the record by which the claim was just made here, empty if
   /// it was not.
   wire::ClaimVerdict verdict(const wire::Claim &Claim,
--- a/src/agent/internal/logconfigfeed.cpp
+++ b/src/agent/internal/logconfigfeed.cpp
@@ -36,9 +36,9 @@
 } // namespace
 
 LogConfigFeed::LogConfigFeed(asio::io_context &Loop, const base::Clock &Clock,
-                             platform::LogClient &Log)
-    : Tailer(Loop, Clock, Log, platform::ConfigStream, TailWait,
-             {[this](const platform::LogRecord &Record) {
+                             logservice::LogClient &Log)
+    : Tailer(Loop, Clock, Log, logservice::ConfigStream, TailWait,
+             {[this](const logservice::LogRecord &Record) {
                 return this->reduce(Record);
               },
               [this] { this->OnChanged.notify(this->config()); },
@@ -53,7 +53,7 @@
 
 void LogConfigFeed::stop() { this->Tailer.stop(); }
 
-bool LogConfigFeed::reduce(const platform::LogRecord &Record) {
+bool LogConfigFeed::reduce(const logservice::LogRecord &Record) {
   state::Verdict Verdict = this->Reducer.reduce(Record.At, Record.Data);
   logVerdict(Record.At, Verdict);
   bool Readable = this->Reducer.readable();
@@ -70,7 +70,7 @@
 }
 
 void LogConfigFeed::offerSnapshot(const wire::Snapshot &Snapshot) {
-  if (Snapshot.stream() != platform::ConfigStream)
+  if (Snapshot.stream() != logservice::ConfigStream)
     return;
   if (this->Offered && this->Offered->covers() > Snapshot.covers())
     return;
--- a/src/agent/internal/logconfigfeed.h
+++ b/src/agent/internal/logconfigfeed.h
@@ -12,7 +12,7 @@
 class LogConfigFeed final : public ConfigFeed {
 public:
   LogConfigFeed(asio::io_context &Loop, const base::Clock &Clock,
-                platform::LogClient &Log);
+                logservice::LogClient &Log);
 
   void start();
   void stop();
@@ -32,7 +32,7 @@
   std::string trouble() const;
 
 private:
-  bool reduce(const platform::LogRecord &Record);
+  bool reduce(const logservice::LogRecord &Record);
   void onExpired(base::Offset First);
 
   void useSnapshot();
--- a/src/agent/internal/logsystemfeed.cpp
+++ b/src/agent/internal/logsystemfeed.cpp
@@ -22,10 +22,10 @@
 } // namespace
 
 LogSystemFeed::LogSystemFeed(asio::io_context &Loop, const base::Clock &Clock,
-                             platform::LogClient &Log, const Identity &Self)
-    : Clock(Clock), Self(Self), Appender(Clock, Log, platform::SystemStream),
-      Tailer(Loop, Clock, Log, platform::SystemStream, TailWait,
-             {[this](const platform::LogRecord &Record) {
+                             logservice::LogClient &Log, const Identity &Self)
+    : Clock(Clock), Self(Self), Appender(Clock, Log, logservice::SystemStream),
+      Tailer(Loop, Clock, Log, logservice::SystemStream, TailWait,
+             {[this](const logservice::LogRecord &Record) {
                 return this->take(Record);
               },
               [] {}, [this](base::TimePoint SentAt) { this->onTail(SentAt); },
@@ -56,7 +56,7 @@
   this->Appender.append(Record, AppendWait, std::move(Done));
 }
 
-bool LogSystemFeed::take(const platform::LogRecord &Read) {
+bool LogSystemFeed::take(const logservice::LogRecord &Read) {
   wire::Record Record;
   if (!Record.ParseFromString(Read.Data) || Record.id().empty()) {
     base::logEvent(base::LogLevel::Warn, "system_record_malformed",
@@ -94,7 +94,7 @@
   this->OnSnapshot.notify(Snapshot,
                           std::chrono::milliseconds(Record.time_ms()));
   if (this->Phase != ReadPhase::FindSnapshot ||
-      Snapshot.stream() != platform::SystemStream)
+      Snapshot.stream() != logservice::SystemStream)
     return;
   wire::SystemState Saved;
   if (Saved.ParseFromString(Snapshot.state()) &&
--- a/src/agent/internal/logsystemfeed.h
+++ b/src/agent/internal/logsystemfeed.h
@@ -17,7 +17,7 @@
 class LogSystemFeed final : public SystemFeed {
 public:
   LogSystemFeed(asio::io_context &Loop, const base::Clock &Clock,
-                platform::LogClient &Log, const Identity &Self);
+                logservice::LogClient &Log, const Identity &Self);
 
   void start();
   void stop();
@@ -48,7 +48,7 @@
   /// a snapshot.
   enum class ReadPhase { Reduce, FindSnapshot, Unreadable };
 
-  bool take(const platform::LogRecord &Read);
+  bool take(const logservice::LogRecord &Read);
   void takeSnapshot(const wire::Record &Record);
   void onTail(base::TimePoint SentAt);
   void onExpired(base::Offset First);
--- a/src/agent/internal/logtailer.cpp
+++ b/src/agent/internal/logtailer.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 LogTailer::LogTailer(asio::io_context &Loop, const base::Clock &Clock,
-                     platform::LogClient &Log, std::string Stream,
+                     logservice::LogClient &Log, std::string Stream,
                      std::chrono::milliseconds Wait, TailerEvents Events)
     : Clock(Clock), Log(Log), Stream(std::move(Stream)), Wait(Wait),
       Events(std::move(Events)), Retry(Loop), RetryDelay(MinRetryDelay) {}
@@ -37,13 +37,13 @@
 }
 
 void LogTailer::read() {
-  platform::LogRead Where;
+  logservice::LogRead Where;
   Where.Stream = this->Stream;
   Where.From = this->Next;
   Where.Wait = this->Wait;
   base::TimePoint SentAt = this->Clock.now();
   this->Log.read(Where, [this, Live = this->Run,
-                         SentAt](base::Result<platform::LogAnswer> Answer) {
+                         SentAt](base::Result<logservice::LogAnswer> Answer) {
     if (!*Live)
       return;
     if (!Answer) {
@@ -52,11 +52,11 @@
     }
     this->Trouble.clear();
     this->RetryDelay = MinRetryDelay;
-    if (auto *Expired = std::get_if<platform::LogExpired>(&*Answer)) {
+    if (auto *Expired = std::get_if<logservice::LogExpired>(&*Answer)) {
       this->stop();
       return this->Events.OnExpired(Expired->First);
     }
-    this->take(std::get<platform::LogPage>(*Answer), SentAt);
+    this->take(std::get<logservice::LogPage>(*Answer), SentAt);
     if (*Live)
       this->read();
   });
@@ -71,9 +71,9 @@
   });
 }
 
-void LogTailer::take(const platform::LogPage &Page, base::TimePoint SentAt) {
+void LogTailer::take(const logservice::LogPage &Page, base::TimePoint SentAt) {
   auto Live = this->Run;
-  for (const platform::LogRecord &Record : Page.Records)
+  for (const logservice::LogRecord &Record : Page.Records)
     if (!this->takeRecord(Record))
       return;
   if (!Page.Records.empty())
@@ -95,21 +95,21 @@
 void LogTailer::confirmTail() {
   if (!this->Run)
     return;
-  platform::LogRead Where;
+  logservice::LogRead Where;
   Where.Stream = this->Stream;
   Where.From = this->Next;
   Where.MaxRecords = 1;
   base::TimePoint SentAt = this->Clock.now();
-  this->Log.read(Where, [this, Live = this->Run,
-                         SentAt](const base::Result<platform::LogAnswer> &Got) {
+  this->Log.read(Where, [this, Live = this->Run, SentAt](
+                            const base::Result<logservice::LogAnswer> &Got) {
     if (!*Live || !Got)
       return;
-    if (const auto *Page = std::get_if<platform::LogPage>(&*Got))
+    if (const auto *Page = std::get_if<logservice::LogPage>(&*Got))
       this->checkTail(Page->Tail, SentAt);
   });
 }
 
-bool LogTailer::takeRecord(const platform::LogRecord &Record) {
+bool LogTailer::takeRecord(const logservice::LogRecord &Record) {
   if (Record.At < this->Next)
     return true;
   if (Record.At > this->Next) {
--- a/src/agent/internal/logtailer.h
+++ b/src/agent/internal/logtailer.h
@@ -6,7 +6,7 @@
 /// and follows its tail by long polls.
 
 #include "base/clock.h"
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -18,7 +18,7 @@
 
 struct TailerEvents {
   /// The record at the next offset. False stops the tailer.
-  std::function<bool(const platform::LogRecord &)> OnRecord;
+  std::function<bool(const logservice::LogRecord &)> OnRecord;
   /// After each page's records.
   std::function<void()> OnPage;
   /// The page ended at the tail; its read was sent at the given time.
@@ -31,7 +31,7 @@
 public:
   /// \p Wait bounds a long poll.
   LogTailer(asio::io_context &Loop, const base::Clock &Clock,
-            platform::LogClient &Log, std::string Stream,
+            logservice::LogClient &Log, std::string Stream,
             std::chrono::milliseconds Wait, TailerEvents Events);
   LogTailer(const LogTailer &) = delete;
   LogTailer &operator=(const LogTailer &) = delete;
@@ -48,12 +48,12 @@
 private:
   void read();
   void readLater();
-  void take(const platform::LogPage &Page, base::TimePoint SentAt);
-  bool takeRecord(const platform::LogRecord &Record);
+  void take(const logservice::LogPage &Page, base::TimePoint SentAt);
+  bool takeRecord(const logservice::LogRecord &Record);
   void checkTail(base::Offset Tail, base::TimePoint SentAt);
 
   const base::Clock &Clock;
-  platform::LogClient &Log;
+  logservice::LogClient &Log;
   std::string Stream;
   std::chrono::milliseconds Wait;
   TailerEvents Events;
--- a/src/agent/internal/peerpart.cpp
+++ b/src/agent/internal/peerpart.cpp
@@ -198,12 +198,12 @@
 void PeerPart::listInstances() {
   this->Context.Instances.list(
       [this, Live = this->Alive](
-          const base::Result<std::vector<platform::ListedInstance>> &List) {
+          const base::Result<std::vector<logservice::ListedInstance>> &List) {
         if (!*Live || !List)
           return;
         std::vector<membership::ListedInstance> All;
         this->Listed.clear();
-        for (const platform::ListedInstance &Each : *List) {
+        for (const logservice::ListedInstance &Each : *List) {
           All.push_back({Each.Instance, Each.Zone, Each.Leaving});
           this->Listed.insert(Each.Instance);
         }
--- a/src/agent/internal/recordappender.cpp
+++ b/src/agent/internal/recordappender.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 RecordAppender::RecordAppender(const base::Clock &Clock,
-                               platform::LogClient &Log, std::string Stream)
+                               logservice::LogClient &Log, std::string Stream)
     : Clock(Clock), Log(Log), Stream(std::move(Stream)),
       Alive(std::make_shared<bool>(true)) {}
 
@@ -55,7 +55,7 @@
   PendingAppend &Each = Found->second;
   Each.InFlight = false;
   bool Unavailable =
-      !Answer && Answer.error().Code == platform::PlatformErrc::Unavailable;
+      !Answer && Answer.error().Code == logservice::PlatformErrc::Unavailable;
   if (Unavailable && !Each.MayBeAppended)
     return this->finish(RecordId, Answer);
   if (!Unavailable)
@@ -85,7 +85,7 @@
       Late.push_back(RecordId);
   for (const std::string &RecordId : Late)
     this->finish(RecordId,
-                 base::fail(platform::PlatformErrc::AnswerLost,
+                 base::fail(logservice::PlatformErrc::AnswerLost,
                             "the log has not shown the record yet; it may "
                             "still be taken, read the state to find out"));
 }
--- a/src/agent/internal/recordappender.h
+++ b/src/agent/internal/recordappender.h
@@ -8,7 +8,7 @@
 /// not met it. The reducers take only the first record of an id.
 
 #include "base/clock.h"
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include <functional>
 #include <map>
@@ -23,7 +23,7 @@
 public:
   using Done = std::function<void(base::Result<base::Offset>)>;
 
-  RecordAppender(const base::Clock &Clock, platform::LogClient &Log,
+  RecordAppender(const base::Clock &Clock, logservice::LogClient &Log,
                  std::string Stream);
   RecordAppender(const RecordAppender &) = delete;
   RecordAppender &operator=(const RecordAppender &) = delete;
@@ -64,7 +64,7 @@
   void finish(const std::string &RecordId, base::Result<base::Offset> Outcome);
 
   const base::Clock &Clock;
-  platform::LogClient &Log;
+  logservice::LogClient &Log;
   std::string Stream;
   std::shared_ptr<bool> Alive;
   std::map<std::string, PendingAppend> Pending;
--- a/src/agent/internal/snapshotwriter.cpp
+++ b/src/agent/internal/snapshotwriter.cpp
@@ -23,7 +23,8 @@
       Random(std::random_device()()),
       Timer(Loop, Interval / ChecksPerInterval, [this] { this->onTimer(); }) {
   auto Now = Clock.wallNow().time_since_epoch();
-  for (const char *Stream : {platform::ConfigStream, platform::SystemStream}) {
+  for (const char *Stream :
+       {logservice::ConfigStream, logservice::SystemStream}) {
     StreamState &Of = this->Streams[Stream];
     Of.WrittenAt = Now - Interval;
     this->drawDelay(Of);
@@ -52,12 +53,14 @@
       !this->Config.provenAt() || !this->Config.readable())
     return;
   base::Offset ConfigNext = this->Config.config()->Next;
-  if (ConfigNext.Value > 0 && this->due(this->Streams[platform::ConfigStream]))
-    this->write(platform::ConfigStream, ConfigNext,
+  if (ConfigNext.Value > 0 &&
+      this->due(this->Streams[logservice::ConfigStream]))
+    this->write(logservice::ConfigStream, ConfigNext,
                 this->Config.save().SerializeAsString());
   base::Offset SystemNext = this->System.next();
-  if (SystemNext.Value > 0 && this->due(this->Streams[platform::SystemStream]))
-    this->write(platform::SystemStream, SystemNext,
+  if (SystemNext.Value > 0 &&
+      this->due(this->Streams[logservice::SystemStream]))
+    this->write(logservice::SystemStream, SystemNext,
                 this->System.save().SerializeAsString());
 }
 
--- a/src/agent/tests/changestest.cpp
+++ b/src/agent/tests/changestest.cpp
@@ -2,7 +2,7 @@
 
 #include "agent/internal/logconfigfeed.h"
 #include "agent/internal/logsystemfeed.h"
-#include "platform/tests/fakelog.h"
+#include "logservice/tests/fakelog.h"
 #include "runloop.h"
 
 #include <gtest/gtest.h>
@@ -26,7 +26,7 @@
 
 /// One agent's view of the `config` stream.
 struct ConfigNode {
-  ConfigNode(asio::io_context &Loop, platform::LogClient &Log)
+  ConfigNode(asio::io_context &Loop, logservice::LogClient &Log)
       : Feed(Loop, Clock, Log), System(Loop, Clock, Log, Self),
         Rule(Clock, Self, std::chrono::seconds(3), Feed, EpochRecords, System),
         Writer(Loop, Clock, Log, Feed, Rule) {
@@ -57,7 +57,7 @@
   }
 
   asio::io_context Loop;
-  platform::FakeLog Log{Loop};
+  logservice::FakeLog Log{Loop};
 };
 
 } // namespace
--- a/src/agent/tests/logclaimstest.cpp
+++ b/src/agent/tests/logclaimstest.cpp
@@ -1,6 +1,6 @@
 #include "agent/internal/logclaims.h"
 
-#include "platform/tests/fakelog.h"
+#include "logservice/tests/fakelog.h"
 #include "runloop.h"
 
 #include <gtest/gtest.h>
@@ -41,7 +41,7 @@
 
   asio::io_context Loop;
   base::SystemClock Clock;
-  platform::FakeLog Log{Loop};
+  logservice::FakeLog Log{Loop};
   Identity Self;
   Identity Other;
   LogClaims Here{Loop, Clock, Log, Self};
--- a/src/agent/tests/snapshottest.cpp
+++ b/src/agent/tests/snapshottest.cpp
@@ -1,6 +1,6 @@
 #include "agent/internal/snapshotwriter.h"
 
-#include "platform/tests/fakelog.h"
+#include "logservice/tests/fakelog.h"
 #include "runloop.h"
 #include "state/snapshot.h"
 
@@ -38,7 +38,8 @@
 }
 
 struct Node {
-  Node(asio::io_context &Loop, platform::LogClient &Log, milliseconds Interval)
+  Node(asio::io_context &Loop, logservice::LogClient &Log,
+       milliseconds Interval)
       : Config(Loop, Clock, Log), System(Loop, Clock, Log, Self),
         Writer(Loop, Clock, Interval, Config, System) {
     this->System.addReducer(this->Epochs);
@@ -84,7 +85,7 @@
   }
 
   asio::io_context Loop;
-  platform::FakeLog Log{Loop};
+  logservice::FakeLog Log{Loop};
   std::size_t Kept = 0;
 };
 
--- a/src/platform/instancelist.h
+++ b/src/logservice/instancelist.h
@@ -1,19 +1,19 @@
-#ifndef KINGCUPHUB_PLATFORM_INSTANCELIST_H
-#define KINGCUPHUB_PLATFORM_INSTANCELIST_H
+#ifndef KINGCUPHUB_LOGSERVICE_INSTANCELIST_H
+#define KINGCUPHUB_LOGSERVICE_INSTANCELIST_H
 
 /// \file
 /// The platform's list of the system's instances. It lags behind what is.
 
 #include "base/ids.h"
 #include "http/httpclient.h"
-#include "platform/platformerror.h"
+#include "logservice/platformerror.h"
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-namespace kingcuphub::platform {
+namespace kingcuphub::logservice {
 
 struct ListedInstance {
   base::InstanceId Instance;
@@ -33,6 +33,6 @@
 std::unique_ptr<InstanceListClient>
 makeInstanceListClient(http::HttpClient &Http, std::string PlatformUrl);
 
-} // namespace kingcuphub::platform
+} // namespace kingcuphub::logservice
 
-#endif // KINGCUPHUB_PLATFORM_INSTANCELIST_H
+#endif // KINGCUPHUB_LOGSERVICE_INSTANCELIST_H
--- a/src/platform/internal/instancelist.cpp
+++ b/src/logservice/internal/instancelist.cpp
@@ -1,10 +1,10 @@
-#include "platform/instancelist.h"
+#include "logservice/instancelist.h"
 
 #include "platformcall.h"
 
 #include <utility>
 
-namespace kingcuphub::platform {
+namespace kingcuphub::logservice {
 
 namespace {
 
@@ -58,4 +58,4 @@
   return std::make_unique<HttpInstanceList>(Http, std::move(PlatformUrl));
 }
 
-} // namespace kingcuphub::platform
+} // namespace kingcuphub::logservice
--- a/src/platform/internal/logclient.cpp
+++ b/src/logservice/internal/logclient.cpp
@@ -1,11 +1,11 @@
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include "base/hashing.h"
 #include "platformcall.h"
 
 #include <utility>
 
-namespace kingcuphub::platform {
+namespace kingcuphub::logservice {
 
 namespace {
 
@@ -114,4 +114,4 @@
   return std::make_unique<HttpLogClient>(Http, std::move(PlatformUrl));
 }
 
-} // namespace kingcuphub::platform
+} // namespace kingcuphub::logservice
--- a/src/platform/internal/platformcall.cpp
+++ b/src/logservice/internal/platformcall.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace kingcuphub::platform {
+namespace kingcuphub::logservice {
 
 namespace {
 
@@ -78,4 +78,4 @@
                         Name + "'; check platform_url");
 }
 
-} // namespace kingcuphub::platform
+} // namespace kingcuphub::logservice
--- a/src/platform/internal/platformcall.h
+++ b/src/logservice/internal/platformcall.h
@@ -1,19 +1,19 @@
-#ifndef KINGCUPHUB_PLATFORM_INTERNAL_PLATFORMCALL_H
-#define KINGCUPHUB_PLATFORM_INTERNAL_PLATFORMCALL_H
+#ifndef KINGCUPHUB_LOGSERVICE_INTERNAL_PLATFORMCALL_H
+#define KINGCUPHUB_LOGSERVICE_INTERNAL_PLATFORMCALL_H
 
 /// \file
 /// What the platform's clients share: transfers that end with their owner,
 /// and the reading of answers.
 
 #include "http/httpclient.h"
-#include "platform/platformerror.h"
+#include "logservice/platformerror.h"
 
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 
-namespace kingcuphub::platform {
+namespace kingcuphub::logservice {
 
 /// One answer of the platform, or why there is none.
 using CallDone = std::function<void(base::Result<http::Response>)>;
@@ -42,6 +42,6 @@
 base::Result<std::uint64_t> readNumber(const nlohmann::json &Object,
                                        const char *Name);
 
-} // namespace kingcuphub::platform
+} // namespace kingcuphub::logservice
 
-#endif // KINGCUPHUB_PLATFORM_INTERNAL_PLATFORMCALL_H
+#endif // KINGCUPHUB_LOGSERVICE_INTERNAL_PLATFORMCALL_H
--- a/src/platform/internal/platformerror.cpp
+++ b/src/logservice/internal/platformerror.cpp
@@ -1,6 +1,6 @@
-#include "platform/platformerror.h"
+#include "logservice/platformerror.h"
 
-namespace kingcuphub::platform {
+namespace kingcuphub::logservice {
 
 namespace {
 
@@ -24,4 +24,4 @@
   return {static_cast<int>(Kind), Category};
 }
 
-} // namespace kingcuphub::platform
+} // namespace kingcuphub::logservice
--- a/src/platform/logclient.h
+++ b/src/logservice/logclient.h
@@ -1,5 +1,5 @@
-#ifndef KINGCUPHUB_PLATFORM_LOGCLIENT_H
-#define KINGCUPHUB_PLATFORM_LOGCLIENT_H
+#ifndef KINGCUPHUB_LOGSERVICE_LOGCLIENT_H
+#define KINGCUPHUB_LOGSERVICE_LOGCLIENT_H
 
 /// \file
 /// The platform's append-only log. Callbacks come on the loop's thread, once
@@ -7,7 +7,7 @@
 
 #include "base/ids.h"
 #include "http/httpclient.h"
-#include "platform/platformerror.h"
+#include "logservice/platformerror.h"
 
 #include <chrono>
 #include <functional>
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-namespace kingcuphub::platform {
+namespace kingcuphub::logservice {
 
 /// The streams that the system keeps.
 constexpr const char *ConfigStream = "config";
@@ -71,6 +71,6 @@
 std::unique_ptr<LogClient> makeLogClient(http::HttpClient &Http,
                                          std::string PlatformUrl);
 
-} // namespace kingcuphub::platform
+} // namespace kingcuphub::logservice
 
-#endif // KINGCUPHUB_PLATFORM_LOGCLIENT_H
+#endif // KINGCUPHUB_LOGSERVICE_LOGCLIENT_H
--- a/src/platform/platformerror.h
+++ b/src/logservice/platformerror.h
@@ -1,12 +1,12 @@
-#ifndef KINGCUPHUB_PLATFORM_PLATFORMERROR_H
-#define KINGCUPHUB_PLATFORM_PLATFORMERROR_H
+#ifndef KINGCUPHUB_LOGSERVICE_PLATFORMERROR_H
+#define KINGCUPHUB_LOGSERVICE_PLATFORMERROR_H
 
 /// \file
 /// The kinds of failure of a call to the platform.
 
 #include "base/error.h"
 
-namespace kingcuphub::platform {
+namespace kingcuphub::logservice {
 
 enum class PlatformErrc {
   /// The call certainly had no effect.
@@ -18,10 +18,10 @@
 };
 std::error_code make_error_code(PlatformErrc Kind);
 
-} // namespace kingcuphub::platform
+} // namespace kingcuphub::logservice
 
 template <>
-struct std::is_error_code_enum<kingcuphub::platform::PlatformErrc>
+struct std::is_error_code_enum<kingcuphub::logservice::PlatformErrc>
     : std::true_type {};
 
-#endif // KINGCUPHUB_PLATFORM_PLATFORMERROR_H
+#endif // KINGCUPHUB_LOGSERVICE_PLATFORMERROR_H
--- a/src/platform/tests/fakelog.h
+++ b/src/logservice/tests/fakelog.h
@@ -1,10 +1,10 @@
-#ifndef KINGCUPHUB_PLATFORM_TESTS_FAKELOG_H
-#define KINGCUPHUB_PLATFORM_TESTS_FAKELOG_H
+#ifndef KINGCUPHUB_LOGSERVICE_TESTS_FAKELOG_H
+#define KINGCUPHUB_LOGSERVICE_TESTS_FAKELOG_H
 
 /// \file
 /// A log in memory whose faults a test sets by hand.
 
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include <algorithm>
 #include <asio/io_context.hpp>
@@ -14,7 +14,7 @@
 #include <memory>
 #include <utility>
 
-namespace kingcuphub::platform {
+namespace kingcuphub::logservice {
 
 class FakeLog final : public LogClient {
 public:
@@ -94,6 +94,6 @@
   asio::io_context &Loop;
 };
 
-} // namespace kingcuphub::platform
+} // namespace kingcuphub::logservice
 
-#endif // KINGCUPHUB_PLATFORM_TESTS_FAKELOG_H
+#endif // KINGCUPHUB_LOGSERVICE_TESTS_FAKELOG_H
--- a/src/platform/tests/logclienttest.cpp
+++ b/src/logservice/tests/logclienttest.cpp
@@ -1,13 +1,13 @@
-#include "platform/logclient.h"
+#include "logservice/logclient.h"
 
 #include "base/hashing.h"
-#include "platform/instancelist.h"
+#include "logservice/instancelist.h"
 
 #include <deque>
 #include <gtest/gtest.h>
 
 using namespace kingcuphub;
-using namespace kingcuphub::platform;
+using namespace kingcuphub::logservice;
 
 namespace {
 
--- a/standins/common/standinprocess.cpp
+++ b/standins/common/standinprocess.cpp
@@ -68,7 +68,7 @@
   http::ServerSettings Server;
   Server.Address = Settings.Listen.Address;
   Server.Port = Settings.Listen.Port;
-  Server.MaxBodyBytes = MaxBodyBytes;
+  Server.Limits.MaxBodyBytes = MaxBodyBytes;
   auto Started = http::startHttpServer(Loop, Server, Parts.Handle);
   if (!Started) {
     std::cerr << Started.error().Message << '\n';
