How long requests wait, and what they are told, is decided apart from I/O

Change: dispatch/waitpolicy holds what stood in the exchange; same rules, and an unused query of the board is gone. AtOverloadWhatCannotBeServedIsRefusedAtOnce replays three times the load that can be served.

--- a/src/dispatch/internal/targetboard.cpp
+++ b/src/dispatch/internal/targetboard.cpp
@@ -312,19 +312,4 @@
     Of->FullUntil = Now + FullFor;
 }
 
-double TargetBoard::freeSlots(const catalog::ServiceId &Service,
-                              base::TimePoint Now) const {
-  double Free = 0;
-  if (!this->Targets)
-    return Free;
-  for (const auto &[Id, Target] : this->Targets->Targets) {
-    if (Target.Entry.Service != Service || !this->mayUse(Target, Now))
-      continue;
-    const State &Of = this->States.at(Id);
-    Free +=
-        std::max(0.0, this->fullAt(Target, Of) - Of.View.estimatedLoad(Now));
-  }
-  return Free;
-}
-
 } // namespace kingcuphub::dispatch
--- a/src/dispatch/targetboard.h
+++ b/src/dispatch/targetboard.h
@@ -138,10 +138,6 @@
   /// The target refused a request as it is full.
   void onFull(const base::TargetId &Id, base::TimePoint Now);
 
-  /// Requests that the targets of a service could still take.
-  double freeSlots(const catalog::ServiceId &Service,
-                   base::TimePoint Now) const;
-
 private:
   struct State {
     explicit State(routing::TargetView View) : View(std::move(View)) {}
--- /dev/null
+++ b/src/dispatch/tests/waitpolicytest.cpp
@@ -0,0 +1,140 @@
+#include "dispatch/waitpolicy.h"
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace kingcuphub;
+using namespace kingcuphub::dispatch;
+using std::chrono::milliseconds;
+
+namespace {
+
+WaitQuestion question(WaitFor For) {
+  WaitQuestion Out;
+  Out.For = For;
+  Out.Patience = milliseconds(2000);
+  Out.Objective = milliseconds(300);
+  Out.EndsPerSecond = 10;
+  Out.LoadTime = milliseconds(4000);
+  return Out;
+}
+
+const WaitPolicy Policy{WaitSettings{}};
+
+/// A service that ends \p EndsPerSecond requests, and callers that ask for
+/// \p AsksPerSecond. Counts requests that are served, and those that waited in
+/// vain.
+struct Overload {
+  double EndsPerSecond = 0;
+  double AsksPerSecond = 0;
+  int Served = 0;
+  int InVain = 0;
+  milliseconds LongestWait{0};
+
+  void run(milliseconds Time, bool RefuseAtOnce) {
+    struct Waiting {
+      milliseconds Since{0};
+      milliseconds Until{0};
+    };
+    constexpr milliseconds Step{10};
+    std::deque<Waiting> Line;
+    double Ends = 0;
+    double Asks = 0;
+    for (milliseconds Now{0}; Now < Time; Now += Step) {
+      double Seconds = std::chrono::duration<double>(Step).count();
+      Ends = Line.empty() ? 0 : Ends + this->EndsPerSecond * Seconds;
+      for (Asks += this->AsksPerSecond * Seconds; Asks >= 1; Asks -= 1) {
+        WaitQuestion Asked = question(WaitFor::Place);
+        Asked.Ahead = Line.size();
+        Asked.EndsPerSecond = this->EndsPerSecond;
+        auto Decision = Policy.decide(Asked);
+        if (auto *Wait = std::get_if<WaitUpTo>(&Decision))
+          Line.push_back({Now, Now + Wait->Limit});
+        else if (!RefuseAtOnce)
+          Line.push_back({Now, Now + milliseconds(900)});
+      }
+      while (!Line.empty() && Line.front().Until <= Now) {
+        ++this->InVain;
+        Line.pop_front();
+      }
+      for (; Ends >= 1 && !Line.empty(); Ends -= 1) {
+        ++this->Served;
+        this->LongestWait =
+            std::max(this->LongestWait, Now - Line.front().Since);
+        Line.pop_front();
+      }
+    }
+  }
+};
+
+} // namespace
+
+/// Three times as many requests come as can be served: those that could not be
+/// are refused at once, as many are served, and hardly any waits in vain.
+TEST(WaitPolicyTest, AtOverloadWhatCannotBeServedIsRefusedAtOnce) {
+  Overload Refusing{20, 60};
+  Refusing.run(milliseconds(10000), true);
+  Overload Holding{20, 60};
+  Holding.run(milliseconds(10000), false);
+  EXPECT_GE(Refusing.Served, Holding.Served);
+  EXPECT_LE(Refusing.InVain, 5);
+  EXPECT_GE(Holding.InVain, 100);
+  EXPECT_LE(Refusing.LongestWait, milliseconds(900));
+}
+
+TEST(WaitPolicyTest, ALoadThatEndsTooLateIsToldAtOnce) {
+  WaitQuestion Asked = question(WaitFor::Item);
+  Asked.LoadedIn = milliseconds(3000);
+  auto Decision = Policy.decide(Asked);
+  auto *Refused = std::get_if<RefuseNow>(&Decision);
+  ASSERT_NE(Refused, nullptr);
+  EXPECT_EQ(Refused->RetryAfter, milliseconds(3000));
+}
+
+TEST(WaitPolicyTest, ALoadThatEndsSoonIsWaitedFor) {
+  WaitQuestion Asked = question(WaitFor::Item);
+  Asked.LoadedIn = milliseconds(400);
+  auto Decision = Policy.decide(Asked);
+  auto *Waits = std::get_if<WaitUpTo>(&Decision);
+  ASSERT_NE(Waits, nullptr);
+  EXPECT_GE(Waits->Limit, milliseconds(400));
+}
+
+TEST(WaitPolicyTest, AfterAVainWaitTheTimeOfALoadIsTold) {
+  EXPECT_EQ(Policy.afterWait(question(WaitFor::Item)).RetryAfter,
+            milliseconds(4000));
+}
+
+TEST(WaitPolicyTest, ACallersPatienceWithAStreamEndsBeforeItsDeadline) {
+  catalog::Route Route;
+  Route.Streaming = true;
+  Route.Objective = milliseconds(300);
+  Route.PauseObjective = milliseconds(200);
+  EXPECT_EQ(Policy.patience(Route, milliseconds(500), milliseconds(11500)),
+            milliseconds(1500));
+  Route.Objective = milliseconds(3000);
+  EXPECT_EQ(Policy.patience(Route, milliseconds(0), milliseconds(20000)),
+            milliseconds(12000));
+  Route.Streaming = false;
+  EXPECT_EQ(Policy.patience(Route, milliseconds(0), milliseconds(1500)),
+            milliseconds(1500));
+}
+
+/// Whatever is asked, nobody waits beyond half of his patience, and a refusal
+/// says when to come back.
+RC_GTEST_PROP(WaitPolicyTest, NobodyWaitsBeyondHisPatience, ()) {
+  WaitQuestion Asked;
+  Asked.For = *rc::gen::element(WaitFor::Place, WaitFor::Item, WaitFor::Target);
+  Asked.Patience = milliseconds(*rc::gen::inRange(0, 20000));
+  Asked.Objective = milliseconds(*rc::gen::inRange(1, 5000));
+  Asked.Ahead = *rc::gen::inRange<std::size_t>(0, 500);
+  Asked.EndsPerSecond = *rc::gen::inRange(0, 200);
+  if (*rc::gen::arbitrary<bool>())
+    Asked.LoadedIn = milliseconds(*rc::gen::inRange(0, 9000));
+  auto Decision = Policy.decide(Asked);
+  if (auto *Waits = std::get_if<WaitUpTo>(&Decision))
+    RC_ASSERT(Waits->Limit <= Asked.Patience / 2);
+  else
+    RC_ASSERT(std::get<RefuseNow>(Decision).RetryAfter > milliseconds(0));
+}
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -11,6 +11,7 @@
 #include "dispatch/repeatbudget.h"
 #include "dispatch/targetboard.h"
 #include "dispatch/usageadmission.h"
+#include "dispatch/waitpolicy.h"
 #include "forwarding/dialect.h"
 #include "http/forwardclient.h"
 #include "http/httpserver.h"
@@ -33,26 +34,7 @@
   /// tokens: beyond it a later start would not be on time.
   double TokenWaitPart = 0.15;
   http::ForwardSettings Connections;
-  /// The part of the time left that a request may wait for a target that is
-  /// full, or for a model to be loaded, before it is refused.
-  double WaitPart = 0.45;
-  /// The same in objectives, for targets that are full: beyond it the answer
-  /// would be late anyway and others would be late with it.
-  double WaitObjectives = 3;
-  /// The least that such a request may wait.
-  std::chrono::milliseconds LeastWait{400};
-  /// A caller gives a stream up that is silent for this long, for this many
-  /// objectives or for this many pauses, whichever is longest.
-  std::chrono::milliseconds Patience{2000};
-  double PatienceObjectives = 4;
-  double PatiencePauses = 8;
-  /// How long a request for a model or adapter waits for the holder's word on
-  /// when it will be loaded.
-  std::chrono::milliseconds NewsWait{400};
-  /// A load that is expected to end is given this much longer.
-  std::chrono::milliseconds LoadSlack{250};
-  /// The longest wait for a service that has no target.
-  std::chrono::milliseconds NoTargetWait{700};
+  dispatch::WaitSettings Waits;
   /// An answer up to this size is held until it is whole, so that a cut one
   /// can be fetched again; larger ones are passed on as they arrive.
   std::size_t HoldBytes = 128U << 10U;
@@ -62,8 +44,6 @@
   /// many objectives (pause objectives within a stream) is sent elsewhere.
   double SilenceObjectives = 4;
   std::chrono::milliseconds LeastSilence{800};
-  /// What callers are told where nothing better is known.
-  std::chrono::milliseconds DefaultRetryAfter{500};
 };
 
 /// What the traffic side has counted since it was last asked.
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include "base/log.h"
+#include "base/visitor.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,6 +10,8 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr int BadRequest = 400;
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
@@ -79,7 +82,7 @@
   }
   if (!this->Context.Catalog || !this->Context.Targets) {
     this->refuse(Unavailable, "starting",
-                 this->Context.Settings.DefaultRetryAfter);
+                 this->Context.Settings.Waits.DefaultRetryAfter);
     return;
   }
   if (!this->resolve())
@@ -213,10 +216,12 @@
     return true;
   }
   this->Chosen.reset();
-  this->WaitsFor =
-      std::holds_alternative<dispatch::AllFull>(Choice)   ? Waits::ForPlace
-      : std::holds_alternative<dispatch::NotHeld>(Choice) ? Waits::ForItem
-                                                          : Waits::ForTarget;
+  using dispatch::WaitFor;
+  bool Full = std::holds_alternative<dispatch::AllFull>(Choice);
+  bool Lacks = std::holds_alternative<dispatch::NotHeld>(Choice);
+  this->WaitsFor = Full    ? WaitFor::Place
+                   : Lacks ? WaitFor::Item
+                           : WaitFor::Target;
   return false;
 }
 
@@ -228,7 +233,7 @@
     return;
   }
   if (!this->Ended)
-    this->enqueue(this->WaitsFor);
+    this->enqueue();
 }
 
 void Exchange::sendNow() {
@@ -237,91 +242,58 @@
   this->send(To);
 }
 
-std::chrono::milliseconds Exchange::waitLimit(Waits For) const {
-  const ForwarderSettings &Settings = this->Context.Settings;
-  auto Part = std::chrono::duration_cast<std::chrono::milliseconds>(
-      this->patience() * Settings.WaitPart);
-  switch (For) {
-  case Waits::ForPlace: {
-    auto ByObjective = std::chrono::duration_cast<std::chrono::milliseconds>(
-        this->Route->Objective * Settings.WaitObjectives);
-    return std::min(Part, std::max(Settings.LeastWait, ByObjective));
-  }
-  case Waits::ForItem: {
-    auto Loaded = this->loadedIn();
-    return std::min(Part,
-                    Loaded ? *Loaded + Settings.LoadSlack : Settings.NewsWait);
-  }
-  case Waits::ForTarget:
-    return std::min(Part, Settings.NoTargetWait);
-  }
-  return Part;
-}
-
 /// How long the caller goes on waiting for a first answer.
-std::chrono::milliseconds Exchange::patience() const {
-  using std::chrono::milliseconds;
-  const ForwarderSettings &Settings = this->Context.Settings;
+milliseconds Exchange::patience() const {
   base::TimePoint Now = this->now();
-  auto Left = std::chrono::duration_cast<milliseconds>(this->AnswerBy - Now);
-  if (!this->Route->Streaming)
-    return Left;
-  auto Longest =
-      std::max({Settings.Patience,
-                std::chrono::duration_cast<milliseconds>(
-                    this->Route->Objective * Settings.PatienceObjectives),
-                std::chrono::duration_cast<milliseconds>(
-                    this->Route->PauseObjective * Settings.PatiencePauses)});
-  return std::min(Left, std::chrono::duration_cast<milliseconds>(
-                            this->ReceivedAt + Longest - Now));
-}
-
-/// When the model will be loaded, by the holder's word.
-std::optional<std::chrono::milliseconds> Exchange::loadedIn() const {
-  auto At = this->Context.Board.loadedAt(this->Service, this->Facts.Model);
-  if (!At)
-    return std::nullopt;
-  return std::max(
-      std::chrono::milliseconds(0),
-      std::chrono::duration_cast<std::chrono::milliseconds>(*At - this->now()));
+  return this->Context.Waits.patience(
+      *this->Route,
+      std::chrono::duration_cast<milliseconds>(Now - this->ReceivedAt),
+      std::chrono::duration_cast<milliseconds>(this->AnswerBy - Now));
 }
 
-/// How long a load takes that has not begun.
-std::chrono::milliseconds Exchange::loadTime() const {
+/// How long a load of what the request lacks takes, if it has not begun: an
+/// adapter of a model that is held comes at once.
+milliseconds Exchange::loadTime() const {
   const catalog::Service *Of = this->Catalog->service(this->Service);
   bool Held = this->Context.Board.isModelHeld(this->query(), this->now());
   if (Of == nullptr || !Of->Engine || Held)
-    return this->Context.Settings.LoadSlack;
+    return milliseconds(0);
   auto Model = Of->Engine->Models.find(this->Facts.Model);
-  return Model == Of->Engine->Models.end()
-             ? this->Context.Settings.DefaultRetryAfter
-             : Model->second.StoreLoad;
+  return Model == Of->Engine->Models.end() ? milliseconds(0)
+                                           : Model->second.StoreLoad;
 }
 
-std::chrono::milliseconds Exchange::expectedWait() const {
-  auto Rate = this->Context.EndRates.find(this->Service);
-  double PerSecond = Rate == this->Context.EndRates.end()
-                         ? 0
-                         : Rate->second.perSecond(this->now());
-  constexpr double LeastPerSecond = 0.5;
-  auto Ahead = static_cast<double>(this->Context.Waiting.size());
-  return std::chrono::milliseconds(static_cast<std::int64_t>(
-      (Ahead + 1) / std::max(PerSecond, LeastPerSecond) * std::milli::den));
+dispatch::WaitQuestion Exchange::waitQuestion() const {
+  base::TimePoint Now = this->now();
+  dispatch::WaitQuestion Out;
+  Out.For = this->WaitsFor;
+  Out.Patience = this->patience();
+  Out.Objective = this->Route->Objective;
+  Out.Ahead = this->Context.Waiting.size();
+  if (auto Rate = this->Context.EndRates.find(this->Service);
+      Rate != this->Context.EndRates.end())
+    Out.EndsPerSecond = Rate->second.perSecond(Now);
+  if (auto At = this->Context.Board.loadedAt(this->Service, this->Facts.Model))
+    Out.LoadedIn = std::max(
+        milliseconds(0), std::chrono::duration_cast<milliseconds>(*At - Now));
+  Out.LoadTime = this->loadTime();
+  return Out;
 }
 
-void Exchange::enqueue(Waits For) {
+void Exchange::enqueue() {
+  dispatch::WaitDecision Decision =
+      this->Context.Waits.decide(this->waitQuestion());
+  std::visit(base::Visitor{[this](const dispatch::WaitUpTo &Wait) {
+                             this->standInLine(Wait.Limit);
+                           },
+                           [this](const dispatch::RefuseNow &Refused) {
+                             this->giveUp(Refused);
+                           }},
+             Decision);
+}
+
+void Exchange::standInLine(milliseconds Limit) {
   base::TimePoint Now = this->now();
-  auto Limit = this->waitLimit(For);
-  if (For == Waits::ForPlace && this->expectedWait() > Limit) {
-    this->refuse(Unavailable, "full", this->spread(this->expectedWait()));
-    return;
-  }
-  // A load that ends too late for this caller is known already.
-  if (auto Loaded = this->loadedIn();
-      For == Waits::ForItem && Loaded && *Loaded > Limit) {
-    this->refuse(Unavailable, "being-loaded", this->spread(*Loaded));
-    return;
-  }
   admission::QueueEntry Entry;
   Entry.Request = this->Number;
   Entry.Account =
@@ -333,48 +305,35 @@
                this->Facts.Adapter.Value;
   Entry.Deadline = Now + Limit;
   this->InLine = true;
-  this->WaitingSince = Now;
   this->Context.Waiting[this->Number] = this->shared_from_this();
   this->Context.Queue.push(std::move(Entry));
   this->Context.LineGrew();
   this->log(base::LogLevel::Info, "waits",
-            {{"for", For == Waits::ForPlace  ? "place"
-                     : For == Waits::ForItem ? "item"
-                                             : "target"},
+            {{"for", dispatch::waitForName(this->WaitsFor)},
              {"limit_ms", Limit.count()},
              {"line", this->Context.Waiting.size()}});
-  if (For == Waits::ForItem)
+  if (this->WaitsFor == dispatch::WaitFor::Item)
     this->Context.Wanted();
 }
 
 void Exchange::waitedTooLong() {
   this->InLine = false;
-  if (this->Begun) {
+  this->giveUp(this->Context.Waits.afterWait(this->waitQuestion()));
+}
+
+/// Ends a request that no target takes.
+void Exchange::giveUp(const dispatch::RefuseNow &Why) {
+  if (this->Begun)
     this->abort("no-target-to-resume");
-    return;
-  }
-  if (this->Runs > 0) {
+  else if (this->Runs > 0)
     this->refuse(BadGateway, "no-target-to-repeat");
-    return;
-  }
-  switch (this->WaitsFor) {
-  case Waits::ForPlace:
-    this->refuse(Unavailable, "full", this->spread(this->expectedWait()));
-    return;
-  case Waits::ForItem:
-    this->refuse(Unavailable, "not-loaded",
-                 this->spread(this->loadedIn().value_or(this->loadTime())));
-    return;
-  case Waits::ForTarget:
-    this->refuse(Unavailable, "no-target",
-                 this->spread(this->Context.Settings.DefaultRetryAfter));
-    return;
-  }
+  else
+    this->refuse(Unavailable, Why.Reason, this->spread(Why.RetryAfter));
 }
 
 std::optional<std::pair<catalog::ServiceId, residency::Item>>
 Exchange::lacking() const {
-  if (!this->InLine || this->WaitsFor != Waits::ForItem)
+  if (!this->InLine || this->WaitsFor != dispatch::WaitFor::Item)
     return std::nullopt;
   return std::make_pair(
       this->Service, residency::Item{this->Facts.Model, this->Facts.Adapter});
@@ -625,7 +584,7 @@
     this->refuse(BadGateway, "refused-by-target");
   else
     this->refuse(Unavailable, "refused-by-target",
-                 this->spread(this->Context.Settings.DefaultRetryAfter));
+                 this->spread(this->Context.Settings.Waits.DefaultRetryAfter));
 }
 
 void Exchange::afterHeld() {
@@ -679,7 +638,7 @@
     this->refuse(BadGateway, "target-broke-off");
   else
     this->refuse(Unavailable, "no-connection",
-                 this->spread(this->Context.Settings.DefaultRetryAfter));
+                 this->spread(this->Context.Settings.Waits.DefaultRetryAfter));
 }
 
 // --- Time ------------------------------------------------------------------
@@ -730,8 +689,9 @@
     else if (this->Target || this->Runs > 0)
       this->refuse(GatewayTimeout, "timeout");
     else
-      this->refuse(Unavailable, "timeout",
-                   this->spread(this->Context.Settings.DefaultRetryAfter));
+      this->refuse(
+          Unavailable, "timeout",
+          this->spread(this->Context.Settings.Waits.DefaultRetryAfter));
     return;
   }
   bool Silent = this->Target && Now >= this->ProgressAt + this->silenceLimit();
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -53,7 +53,6 @@
     /// The answer is passed on as it arrives.
     Passed,
   };
-  enum class Waits { ForPlace, ForItem, ForTarget };
 
   base::TimePoint now() const { return this->Context.Clock.now(); }
   bool resolve();
@@ -65,12 +64,12 @@
   dispatch::TargetQuery query() const;
 
   void dispatch();
-  void enqueue(Waits For);
-  std::chrono::milliseconds waitLimit(Waits For) const;
+  void enqueue();
+  void giveUp(const dispatch::RefuseNow &Why);
+  void standInLine(std::chrono::milliseconds Limit);
+  dispatch::WaitQuestion waitQuestion() const;
   std::chrono::milliseconds patience() const;
-  std::optional<std::chrono::milliseconds> loadedIn() const;
   std::chrono::milliseconds loadTime() const;
-  std::chrono::milliseconds expectedWait() const;
   void leaveLine();
 
   void send(const base::TargetId &Target);
@@ -121,8 +120,7 @@
   bool UsageTaken = false;
 
   bool InLine = false;
-  Waits WaitsFor = Waits::ForPlace;
-  base::TimePoint WaitingSince;
+  dispatch::WaitFor WaitsFor = dispatch::WaitFor::Place;
   std::optional<base::TargetId> Chosen;
 
   std::set<base::TargetId> Tried;
--- a/src/forwarding/internal/trafficcontext.h
+++ b/src/forwarding/internal/trafficcontext.h
@@ -26,6 +26,7 @@
       : Loop(Loop), Settings(std::move(NewSettings)), Protocol(Protocol),
         Clock(Clock), Metrics(Metrics), Board(this->Settings.Board),
         Repeats(this->Settings.Repeats), Usage(this->Settings.Usage),
+        Waits(this->Settings.Waits),
         Client(http::makeForwardClient(Loop, this->Settings.Connections)),
         Random(std::random_device{}()) {}
 
@@ -37,6 +38,7 @@
   dispatch::TargetBoard Board;
   dispatch::RepeatBudget Repeats;
   dispatch::UsageAdmission Usage;
+  dispatch::WaitPolicy Waits;
   std::unique_ptr<http::ForwardClient> Client;
   std::mt19937_64 Random;
   catalog::CatalogPtr Catalog;
