--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -15,6 +15,9 @@
   std::string Value;
 };
 
+/// Compares the names of headers, without case.
+bool equalNames(std::string_view Left, std::string_view Right);
+
 /// The first value of a header, its name compared without case; empty if
 /// absent.
 std::string_view findHeader(const std::vector<Header> &Headers,
--- a/src/http/internal/httpmessage.cpp
+++ b/src/http/internal/httpmessage.cpp
@@ -35,11 +35,15 @@
 
 } // namespace
 
+bool equalNames(std::string_view Left, std::string_view Right) {
+  return Left.size() == Right.size() &&
+         strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
 std::string_view findHeader(const std::vector<Header> &Headers,
                             std::string_view Name) {
   for (const Header &Each : Headers)
-    if (Each.Name.size() == Name.size() &&
-        strncasecmp(Each.Name.data(), Name.data(), Name.size()) == 0)
+    if (equalNames(Each.Name, Name))
       return Each.Value;
   return {};
 }
--- a/src/http/internal/messageparser.cpp
+++ b/src/http/internal/messageparser.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <http_parser.h>
-#include <strings.h>
 #include <utility>
 
 namespace kingcuphub::http {
@@ -28,11 +27,6 @@
 
 const base::EnumCategory Category("http-parse", textOf);
 
-bool equalNames(std::string_view Left, std::string_view Right) {
-  return Left.size() == Right.size() &&
-         strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
-}
-
 std::string_view trimmed(std::string_view Text) {
   while (!Text.empty() && (Text.front() == ' ' || Text.front() == '\t'))
     Text.remove_prefix(1);
--- a/src/instance/internal/settings.cpp
+++ b/src/instance/internal/settings.cpp
@@ -32,11 +32,13 @@
                    "leave time between it and grace_ms less reserve_ms");
 }
 
-void readRepeats(base::SettingsReader &Reader, RepeatSettings &To) {
+void readRepeats(base::SettingsReader &Reader,
+                 dispatch::RepeatBudgetSettings &To) {
   To.Ratio = Reader.real("ratio", To.Ratio, 0, 1);
   To.Extra = Reader.real("extra", To.Extra, 0, MostRepeats);
+  auto Default = std::chrono::duration_cast<milliseconds>(To.Window);
   To.Window =
-      Reader.millis("window_ms", To.Window, ShortestWindow, LongestWindow);
+      Reader.millis("window_ms", Default, ShortestWindow, LongestWindow);
 }
 
 } // namespace
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -11,9 +11,7 @@
   forwarding::ForwarderSettings Out;
   Out.Board.Zone = Options.Zone;
   Out.Board.Cold.Self = Options.Name;
-  Out.Repeats.Ratio = Options.Repeats.Ratio;
-  Out.Repeats.Extra = Options.Repeats.Extra;
-  Out.Repeats.Window = Options.Repeats.Window;
+  Out.Repeats = Options.Repeats;
   return Out;
 }
 
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -9,6 +9,7 @@
 #include "base/ids.h"
 #include "base/log.h"
 #include "base/settings.h"
+#include "dispatch/repeatbudget.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -27,13 +28,6 @@
   std::chrono::milliseconds Reserve{400};
 };
 
-/// The bound on repeats that the deployment states.
-struct RepeatSettings {
-  double Ratio = 0.2;
-  double Extra = 50;
-  std::chrono::milliseconds Window{10000};
-};
-
 struct Settings {
   base::InstanceId Name;
   base::ZoneId Zone;
@@ -45,7 +39,7 @@
   /// The platform's store.
   base::Endpoint Store;
   StopSettings Stop;
-  RepeatSettings Repeats;
+  dispatch::RepeatBudgetSettings Repeats;
   /// How long the holder's lease lasts: short, as nobody gives orders between
   /// a holder's death and its end, and long against a slow answer of the store.
   std::chrono::milliseconds Lease{1800};
