--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -84,7 +84,6 @@
   std::string Backlog;
   Request Incoming;
   bool KeepAlive = true;
-  bool BodyTooLarge = false;
   bool ReadPending = false;
   Phase At = Phase::Reading;
   /// When the phase, or the message that is being read, began.
