After reading the change: one piece where there were two, nothing computed twice

Behaviour stays. A prompt's chain of hashes is made once a choice, not once a target; open requests are counted where they are and not copied by a message every 50 ms; a stopping control had a callback and a timer that nobody waited for; reading and checking a settings file, milliseconds for log lines, what every message of the holder says, the pool's share and an instance's two small servers stand once each. Gone: a branch of the parser that changed nothing.

--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -19,19 +19,6 @@
 
 constexpr const char *ProgramName = "kingcuphub-instance";
 
-base::Result<instance::Settings> readAgain(const std::string &FileName) {
-  auto Json = base::readJsonFile(FileName);
-  if (!Json)
-    return tl::unexpected(Json.error());
-  std::vector<base::SettingsProblem> Problems;
-  base::SettingsReader Reader(*Json, "", Problems);
-  instance::Settings Out = instance::parseSettings(Reader);
-  Reader.finish();
-  if (!Problems.empty())
-    return tl::unexpected(base::settingsError(Problems));
-  return Out;
-}
-
 /// Acts on signals until the instance has stopped.
 class Signals {
 public:
@@ -56,11 +43,16 @@
   }
 
   void reload() {
-    if (auto New = readAgain(this->FileName))
-      this->Running.reload(*New);
+    instance::Settings New;
+    auto Read = base::readSettingsFile(this->FileName,
+                                       [&New](base::SettingsReader &Reader) {
+                                         New = instance::parseSettings(Reader);
+                                       });
+    if (Read)
+      this->Running.reload(New);
     else
       base::logEvent(base::LogLevel::Error, "settings-rejected",
-                     {{"why", New.error().Message}});
+                     {{"why", Read.error().Message}});
   }
 
   asio::io_context &Loop;
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -6,6 +6,7 @@
 /// the loops that drive them take a Clock.
 
 #include <chrono>
+#include <cstdint>
 
 namespace kingcuphub::base {
 
@@ -16,6 +17,11 @@
 using WallTime = std::chrono::time_point<std::chrono::system_clock,
                                          std::chrono::milliseconds>;
 
+/// Whole milliseconds, for log lines.
+inline std::int64_t millisOf(Duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
 /// Where a loop reads the time.
 class Clock {
 public:
--- a/src/base/internal/program.cpp
+++ b/src/base/internal/program.cpp
@@ -35,19 +35,10 @@
 std::optional<int>
 readFile(const ProgramInfo &Info, const std::string &FileName,
          const std::function<void(SettingsReader &)> &Parse) {
-  Result<nlohmann::json> Json = readJsonFile(FileName);
-  if (!Json) {
-    std::cerr << Info.Name << ": " << Json.error().Message << '\n';
-    return ExitUsage;
-  }
-  std::vector<SettingsProblem> Problems;
-  SettingsReader Reader(*Json, "", Problems);
-  Parse(Reader);
-  Reader.finish();
-  if (Problems.empty())
+  auto Read = readSettingsFile(FileName, Parse);
+  if (Read)
     return std::nullopt;
-  std::cerr << Info.Name << ": " << FileName << ": "
-            << settingsError(Problems).Message << '\n';
+  std::cerr << Info.Name << ": " << Read.error().Message << '\n';
   return ExitUsage;
 }
 
--- a/src/base/internal/settings.cpp
+++ b/src/base/internal/settings.cpp
@@ -216,6 +216,23 @@
   return Parsed;
 }
 
+Result<void>
+readSettingsFile(const std::string &FileName,
+                 const std::function<void(SettingsReader &)> &Parse) {
+  Result<nlohmann::json> Json = readJsonFile(FileName);
+  if (!Json)
+    return tl::unexpected(Json.error());
+  std::vector<SettingsProblem> Problems;
+  SettingsReader Reader(*Json, "", Problems);
+  Parse(Reader);
+  Reader.finish();
+  if (Problems.empty())
+    return {};
+  Error Found = settingsError(Problems);
+  Found.Message = FileName + ": " + Found.Message;
+  return tl::unexpected(std::move(Found));
+}
+
 Error settingsError(const std::vector<SettingsProblem> &Problems) {
   std::string Text = std::to_string(Problems.size()) + " problem(s):";
   for (const SettingsProblem &Problem : Problems)
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -77,6 +77,12 @@
 /// Reads and parses a JSON file.
 Result<nlohmann::json> readJsonFile(const std::string &FileName);
 
+/// Reads a JSON file, calls \p Parse with a reader of it and reports every
+/// problem at once.
+Result<void>
+readSettingsFile(const std::string &FileName,
+                 const std::function<void(SettingsReader &)> &Parse);
+
 /// One text of many problems, a line each.
 Error settingsError(const std::vector<SettingsProblem> &Problems);
 
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -64,12 +64,10 @@
   /// The traffic side asks for credit, or gives some back.
   virtual void
   onCredit(const std::vector<admission::CreditCommand> &Commands) = 0;
-  /// Whether catalog and targets have been read.
-  virtual bool ready() const = 0;
-  /// \p Ready is called once they have.
+  /// \p Ready is called once catalog and targets have been read.
   virtual void onReady(std::function<void()> Ready) = 0;
-  /// Gives the lease back and calls \p Done, in any case within a second.
-  virtual void leave(std::function<void()> Done) = 0;
+  /// Gives the lease back, as the process is about to end.
+  virtual void leave() = 0;
 };
 
 std::unique_ptr<Control>
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -1,8 +1,7 @@
 #include "control/control.h"
 
-#include "base/visitor.h"
-
 #include "base/log.h"
+#include "base/visitor.h"
 #include "holderside.h"
 
 #include <algorithm>
@@ -14,13 +13,6 @@
 
 namespace {
 
-/// The least time for which a stopping holder waits for its lease's release.
-constexpr std::chrono::milliseconds ReleaseTimeout{700};
-
-std::int64_t millis(base::Duration Time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
-}
-
 class WholeControl final : public Control {
 public:
   WholeControl(asio::io_context &Loop, ControlSettings NewSettings,
@@ -34,7 +26,7 @@
               this->Settings.LinkEndpoint, this->Settings.Lease,
               std::random_device{}()),
         Holding(Loop, this->Settings, Engines, this->Lease, Clock, Metrics),
-        TickTimer(Loop), ReportTimer(Loop), LeaveTimer(Loop) {}
+        TickTimer(Loop), ReportTimer(Loop) {}
 
   WholeControl(const WholeControl &) = delete;
   WholeControl &operator=(const WholeControl &) = delete;
@@ -84,36 +76,23 @@
     this->Link->send(Out.SerializeAsString());
   }
 
-  bool ready() const override {
-    return this->HasTargets && this->Catalog != nullptr;
-  }
-
   void onReady(std::function<void()> NewReady) override {
     this->Ready = std::move(NewReady);
     this->checkReady();
   }
 
-  void leave(std::function<void()> Done) override {
+  void leave() override {
     auto Release = this->Lease.release(this->Clock.now());
-    if (!Release) {
-      this->Holding.checkLease();
-      Done();
-      return;
+    if (Release) {
+      this->Holding.leave();
+      this->Store.append(*Release, [](AppendEnd) {});
     }
-    auto Once = std::make_shared<std::function<void()>>(std::move(Done));
-    this->Holding.leave();
-    auto Finish = [Once] {
-      if (auto Call = std::exchange(*Once, nullptr))
-        Call();
-    };
-    this->Store.append(*Release, [Finish](AppendEnd) { Finish(); });
-    this->LeaveTimer.expires_after(ReleaseTimeout);
-    this->LeaveTimer.async_wait([Finish](asio::error_code) { Finish(); });
+    this->Holding.checkLease();
   }
 
 private:
   void checkReady() {
-    if (this->ready() && this->Ready)
+    if (this->HasTargets && this->Catalog && this->Ready)
       std::exchange(this->Ready, nullptr)();
   }
 
@@ -270,7 +249,7 @@
     if (Late < this->Settings.StoppedAbove)
       return;
     base::logEvent(base::LogLevel::Warn, "was-stopped",
-                   {{"for_ms", millis(Late)}});
+                   {{"for_ms", base::millisOf(Late)}});
     this->Metrics.counter("was_stopped").add();
   }
 
@@ -385,7 +364,6 @@
   HolderSide Holding;
   asio::steady_timer TickTimer;
   asio::steady_timer ReportTimer;
-  asio::steady_timer LeaveTimer;
   std::function<void()> Ready;
   std::map<std::string, bool> Reachable;
   base::TimePoint TickedAt;
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -1,22 +1,13 @@
 #include "holderside.h"
 
-#include "base/visitor.h"
-
 #include "base/log.h"
+#include "base/visitor.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace kingcuphub::control {
 
-namespace {
-
-std::int64_t millis(base::Duration Time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
-}
-
-} // namespace
-
 HolderSide::HolderSide(asio::io_context &Loop, const ControlSettings &Settings,
                        EngineClient &Engines, residency::HolderLease &Lease,
                        const base::Clock &Clock, metrics::Registry &Metrics)
@@ -78,7 +69,7 @@
     return this->InheritedInstances;
   auto Counted = static_cast<unsigned>(std::count_if(
       this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
-        return Now < Each.second.At + this->Settings.InstanceFor;
+        return Now < Each.second + this->Settings.InstanceFor;
       }));
   // What a former holder knew of may only be cut off from this one.
   bool MayBeCutOff = Now < this->HeldSince + this->Settings.InstanceFor;
@@ -98,20 +89,15 @@
     return;
   base::TimePoint Now = this->Clock.now();
   base::InstanceId Instance{Report.instance()};
-  this->Instances[Instance] = {Now};
+  this->Instances[Instance] = Now;
   this->Clients[From] = Now;
   this->Holder.onUse(Instance, readItems(Report), Now);
-  wire::HolderReply Reply;
-  Reply.set_token(this->Token->Value);
+  wire::HolderReply Reply = this->newReply(Now);
   Reply.set_number(Report.number());
-  Reply.set_instances(this->instances());
-  this->sayLease(Now, Reply);
-  Reply.set_held_revision(this->PublishedRevision);
   bool Has = Report.held_token() == this->Token->Value &&
              Report.held_revision() == this->PublishedRevision;
   if (!Has)
     writeHeld(this->Published, Reply);
-  writeLoading(this->Holder.engines().loading(Now), Now, Reply);
   this->answerCredits(Report, Reply);
   this->Server->send(From, Reply.SerializeAsString());
   bool Waited =
@@ -152,7 +138,7 @@
   unsigned Whole = this->instances();
   auto Heard = static_cast<unsigned>(std::count_if(
       this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
-        return Now < Each.second.At + this->Settings.SilentAfter;
+        return Now < Each.second + this->Settings.SilentAfter;
       }));
   this->Usage.setInstances(Whole, Whole - std::min(Whole, Heard));
 }
@@ -184,10 +170,16 @@
   });
 }
 
-void HolderSide::sayLease(base::TimePoint Now, wire::HolderReply &To) const {
-  To.set_lease_end(this->Lease.end().Value);
-  To.set_lease_left_ms(
+wire::HolderReply HolderSide::newReply(base::TimePoint Now) const {
+  wire::HolderReply Out;
+  Out.set_token(this->Token->Value);
+  Out.set_instances(this->instances());
+  Out.set_lease_end(this->Lease.end().Value);
+  Out.set_lease_left_ms(
       static_cast<std::uint32_t>(this->Lease.left(Now).count()));
+  Out.set_held_revision(this->PublishedRevision);
+  writeLoading(this->Holder.engines().loading(Now), Now, Out);
+  return Out;
 }
 
 void HolderSide::leave() {
@@ -210,13 +202,8 @@
     return;
   this->Published = std::move(Held);
   ++this->PublishedRevision;
-  wire::HolderReply News;
-  News.set_token(this->Token->Value);
-  News.set_instances(this->instances());
-  this->sayLease(Now, News);
-  News.set_held_revision(this->PublishedRevision);
+  wire::HolderReply News = this->newReply(Now);
   writeHeld(this->Published, News);
-  writeLoading(this->Holder.engines().loading(Now), Now, News);
   std::string Bytes = News.SerializeAsString();
   for (auto Each = this->Clients.begin(); Each != this->Clients.end();) {
     if (Now > Each->second + this->Settings.HeldFor) {
@@ -288,7 +275,7 @@
                         {"adapter", What.What.Adapter.Value},
                         {"revision", What.ExpectedRevision},
                         {"answer", residency::orderAnswerName(Answer)},
-                        {"after_ms", millis(Now - SentAt)}});
+                        {"after_ms", base::millisOf(Now - SentAt)}});
         if (Answer == residency::OrderAnswer::Fenced)
           this->Lease.onFenced();
         this->Holder.onAnswer(What, Answer, Now);
--- a/src/control/internal/holderside.h
+++ b/src/control/internal/holderside.h
@@ -35,14 +35,11 @@
   unsigned instances() const;
 
 private:
-  struct Seen {
-    base::TimePoint At;
-  };
-
   void onReport(const messaging::ClientName &From, std::string_view Bytes);
   void answerCredits(const wire::InstanceReport &Report, wire::HolderReply &To);
   void countSilent(base::TimePoint Now);
-  void sayLease(base::TimePoint Now, wire::HolderReply &To) const;
+  /// What every message to an instance says.
+  wire::HolderReply newReply(base::TimePoint Now) const;
   void publish();
   void publishLater();
   void carryOut(const residency::HolderCommand &Command);
@@ -62,7 +59,8 @@
   std::optional<residency::FencingToken> Token;
   base::TimePoint HeldSince;
   unsigned InheritedInstances = 0;
-  std::map<base::InstanceId, Seen> Instances;
+  /// When each was last heard of.
+  std::map<base::InstanceId, base::TimePoint> Instances;
   std::map<messaging::ClientName, base::TimePoint> Clients;
   HeldTargets Published;
   std::uint64_t PublishedRevision = 0;
--- a/src/dispatch/internal/targetboard.cpp
+++ b/src/dispatch/internal/targetboard.cpp
@@ -17,17 +17,6 @@
 /// holder says otherwise.
 constexpr std::chrono::milliseconds LackingFor{1500};
 
-/// One number for a prompt's beginning, for the model and adapter that it is
-/// read by.
-std::uint64_t chainSeed(const TargetQuery &Query) {
-  return base::stableHash(Query.Model.Value + "/" + Query.Adapter.Value);
-}
-
-std::uint64_t chainStep(std::uint64_t Chain, std::uint64_t Part) {
-  return base::stableHash({reinterpret_cast<const char *>(&Part), sizeof(Part)},
-                          Chain);
-}
-
 } // namespace
 
 TargetBoard::TargetBoard(TargetBoardSettings NewSettings)
@@ -145,10 +134,14 @@
   return Lacks == Of.Lacking.end() || Lacks->second <= Now;
 }
 
+const catalog::Service *
+TargetBoard::serviceOf(const catalog::Target &Target) const {
+  return this->Catalog ? this->Catalog->service(Target.Entry.Service) : nullptr;
+}
+
 double TargetBoard::fullAt(const catalog::Target &Target,
                            const State &Of) const {
-  const catalog::Service *Service =
-      this->Catalog ? this->Catalog->service(Target.Entry.Service) : nullptr;
+  const catalog::Service *Service = this->serviceOf(Target);
   bool IsEngine = Service != nullptr && Service->Engine.has_value();
   auto Slots =
       static_cast<double>(Of.Slots > 0 ? Of.Slots : Target.Entry.Slots);
@@ -163,28 +156,38 @@
 }
 
 double TargetBoard::coldRate(const catalog::Target &Target) const {
-  const catalog::Service *Service =
-      this->Catalog ? this->Catalog->service(Target.Entry.Service) : nullptr;
+  const catalog::Service *Service = this->serviceOf(Target);
   return Service == nullptr ? 0 : Service->ColdPerSecond;
 }
 
-double TargetBoard::missingTokens(const base::TargetId &Id,
-                                  const TargetQuery &Query) const {
+TargetBoard::PromptChain TargetBoard::chainOf(const TargetQuery &Query) {
+  PromptChain Out;
   if (Query.Prompt == nullptr)
-    return 0;
-  std::uint64_t Chain = chainSeed(Query);
-  double Missing = 0;
+    return Out;
+  // A prompt is cached for the model and adapter that it was read by.
+  std::uint64_t Chain =
+      base::stableHash(Query.Model.Value + "/" + Query.Adapter.Value);
   for (const PromptPart &Each : *Query.Prompt) {
-    Chain = chainStep(Chain, Each.Hash);
+    Chain = base::stableHash(
+        {reinterpret_cast<const char *>(&Each.Hash), sizeof(Each.Hash)}, Chain);
+    Out.push_back({Chain, Each.Size});
+  }
+  return Out;
+}
+
+double TargetBoard::missingTokens(const base::TargetId &Id,
+                                  const PromptChain &Prompt) const {
+  double Missing = 0;
+  for (const PromptPart &Each : Prompt)
     // A part counts as cached only behind cached ones.
-    if (Missing > 0 || !this->Hints.holds(Id, Chain))
+    if (Missing > 0 || !this->Hints.holds(Id, Each.Hash))
       Missing += static_cast<double>(Each.Size.Value);
-  }
   return Missing;
 }
 
 double TargetBoard::cost(const catalog::Target &Target, const State &Of,
-                         const TargetQuery &Query, base::TimePoint Now) const {
+                         const TargetQuery &Query, const PromptChain &Prompt,
+                         base::TimePoint Now) const {
   double Load = Of.View.estimatedLoad(Now);
   double Millis = Load * this->Settings.BatchedRequestMillis;
   if (Query.Model.empty()) {
@@ -193,7 +196,7 @@
     constexpr double WorkMillis = 50;
     Millis = Load / Slots * WorkMillis;
   }
-  Millis += this->missingTokens(Target.Entry.Id, Query) /
+  Millis += this->missingTokens(Target.Entry.Id, Prompt) /
             this->Settings.PromptTokensPerMilli;
   if (Target.Entry.Zone != this->Settings.Zone)
     Millis += this->Settings.OtherZoneMillis;
@@ -208,6 +211,7 @@
   bool Held = false;
   const catalog::Target *Best = nullptr;
   double BestCost = std::numeric_limits<double>::max();
+  PromptChain Prompt = chainOf(Query);
   for (const auto &[Id, Target] : this->Targets->Targets) {
     if (Target.Entry.Service != Query.Service || !this->mayUse(Target, Now))
       continue;
@@ -223,7 +227,7 @@
     if (Now < Target.ColdUntil &&
         !this->Cold.allows(Target, this->coldRate(Target), Now))
       continue;
-    double Cost = this->cost(Target, Of, Query, Now);
+    double Cost = this->cost(Target, Of, Query, Prompt, Now);
     if (Cost < BestCost) {
       Best = &Target;
       BestCost = Cost;
@@ -246,7 +250,8 @@
   if (Target != nullptr && Now < Target->ColdUntil)
     this->Cold.onSent(*Target, this->coldRate(*Target), Now);
   // The next request with the same beginning comes before this one is read.
-  this->onAnswering(Query, Id);
+  for (const PromptPart &Each : chainOf(Query))
+    this->Hints.stored(Id, Each.Hash);
 }
 
 void TargetBoard::onStatedLoad(const base::TargetId &Id, const StatedLoad &Load,
@@ -263,17 +268,6 @@
   Of->View.reported(Report);
 }
 
-void TargetBoard::onAnswering(const TargetQuery &Query,
-                              const base::TargetId &Id) {
-  if (Query.Prompt == nullptr)
-    return;
-  std::uint64_t Chain = chainSeed(Query);
-  for (const PromptPart &Each : *Query.Prompt) {
-    Chain = chainStep(Chain, Each.Hash);
-    this->Hints.stored(Id, Chain);
-  }
-}
-
 double TargetBoard::failureRate(const State &Of, base::TimePoint Now) const {
   std::chrono::duration<double> Age = Now - Of.FailureAt;
   std::chrono::duration<double> Fades = this->Settings.FailureFades;
--- a/src/dispatch/internal/usagepool.cpp
+++ b/src/dispatch/internal/usagepool.cpp
@@ -21,22 +21,24 @@
   this->Silent = std::min(NewSilent, this->Instances);
 }
 
+double UsagePool::pooledPart() const {
+  return 1 - AlonePart * this->Silent / this->Instances;
+}
+
 double UsagePool::wholeRate(const catalog::Account &Account,
                             base::TimePoint Now) const {
-  double Alone = AlonePart * this->Silent / this->Instances;
   double Rate = Account.RatePerSecond;
   // What a former holder handed out in the window is not known.
   if (Now >= this->StartedAt + this->Settings.Window)
     Rate += this->Settings.BurstReturns * Account.Burst /
             Seconds(this->Settings.Window).count();
-  return Rate * (1 - Alone);
+  return Rate * this->pooledPart();
 }
 
 double UsagePool::windowLimit(const catalog::Account &Account) const {
-  double Alone = AlonePart * this->Silent / this->Instances;
   return (Account.RatePerSecond * Seconds(this->Settings.Window).count() +
           Account.Burst) *
-         (1 - Alone);
+         this->pooledPart();
 }
 
 UsagePool::Pool &UsagePool::refilled(const catalog::Account &Account,
--- a/src/dispatch/targetboard.h
+++ b/src/dispatch/targetboard.h
@@ -129,8 +129,6 @@
               base::TimePoint Now);
   void onStatedLoad(const base::TargetId &Id, const StatedLoad &Load,
                     base::TimePoint Now);
-  /// The target has begun to answer; its cache holds the prompt from now on.
-  void onAnswering(const TargetQuery &Query, const base::TargetId &Id);
   void onEnded(const base::TargetId &Id, AttemptEnd How, base::TimePoint Now);
   /// The target refused a request as it lacks the model or adapter.
   void onNotHeld(const base::TargetId &Id, const base::ModelId &Model,
@@ -156,19 +154,25 @@
         Lacking;
   };
 
+  /// The parts of a prompt, each by the hash of all up to it.
+  using PromptChain = std::vector<PromptPart>;
+
   State *stateOf(const base::TargetId &Id);
   bool mayUse(const catalog::Target &Target, base::TimePoint Now) const;
   bool holds(const catalog::Target &Target, const State &Of,
              const TargetQuery &Query, base::TimePoint Now) const;
+  const catalog::Service *serviceOf(const catalog::Target &Target) const;
   double fullAt(const catalog::Target &Target, const State &Of) const;
   bool isFull(const catalog::Target &Target, const State &Of,
               base::TimePoint Now) const;
   double coldRate(const catalog::Target &Target) const;
   double cost(const catalog::Target &Target, const State &Of,
-              const TargetQuery &Query, base::TimePoint Now) const;
+              const TargetQuery &Query, const PromptChain &Prompt,
+              base::TimePoint Now) const;
   double failureRate(const State &Of, base::TimePoint Now) const;
+  static PromptChain chainOf(const TargetQuery &Query);
   double missingTokens(const base::TargetId &Id,
-                       const TargetQuery &Query) const;
+                       const PromptChain &Prompt) const;
 
   TargetBoardSettings Settings;
   catalog::CatalogPtr Catalog;
--- a/src/dispatch/usagepool.h
+++ b/src/dispatch/usagepool.h
@@ -71,6 +71,8 @@
     double WindowSum = 0;
   };
 
+  /// The part of a limit that silent instances do not use on their own.
+  double pooledPart() const;
   double wholeRate(const catalog::Account &Account, base::TimePoint Now) const;
   double windowLimit(const catalog::Account &Account) const;
   Pool &refilled(const catalog::Account &Account, base::TimePoint Now);
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -86,7 +86,7 @@
   /// From now on new requests are refused unrun, as they could not be finished
   /// before the process ends.
   virtual void refuseNew() = 0;
-  /// Requests that have no complete answer yet.
+  /// Requests that have no complete answer yet; may be asked on any thread.
   virtual std::size_t open() const = 0;
 };
 
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -43,10 +43,6 @@
   return Host.substr(0, Host.find(':'));
 }
 
-std::int64_t millis(base::Duration Time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
-}
-
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 } // namespace
@@ -388,11 +384,11 @@
   this->log(base::LogLevel::Info, "sent",
             {{"target", To.Value},
              {"attempt", Current},
-             {"waited_ms", millis(Now - this->ReceivedAt)},
+             {"waited_ms", base::millisOf(Now - this->ReceivedAt)},
              {"catalog", this->Catalog->Version.Value},
              {"targets", this->Context.Targets->Revision},
-             {"targets_age_ms", millis(Now - this->Context.TargetsAt)},
-             {"heard_ms_ago", millis(Now - Listed->ReadAt)}});
+             {"targets_age_ms", base::millisOf(Now - this->Context.TargetsAt)},
+             {"heard_ms_ago", base::millisOf(Now - Listed->ReadAt)}});
   this->Context.Board.onSent(this->query(), To, Now);
   auto Guarded = [this, Current, Self = this->shared_from_this()](auto Take) {
     return [this, Current, Self, Take](const auto &What) {
@@ -621,7 +617,7 @@
              {"attempt", this->Attempt},
              {"may_have_run", MayHaveRun},
              {"why", Why},
-             {"after_ms", millis(this->now() - this->SentAt)}});
+             {"after_ms", base::millisOf(this->now() - this->SentAt)}});
   this->Events.dropRest();
   if (!MayHaveRun && !this->Begun &&
       this->now() + LeastAttempt < this->AnswerBy) {
@@ -761,12 +757,13 @@
         .add(*this->FirstByteAt - this->ReceivedAt);
   nlohmann::json Fields = {{"outcome", Outcome},
                            {"status", Status},
-                           {"after_ms", millis(Now - this->ReceivedAt)},
+                           {"after_ms", base::millisOf(Now - this->ReceivedAt)},
                            {"attempts", this->Attempt}};
   if (!Reason.empty())
     Fields["reason"] = Reason;
   if (this->FirstByteAt)
-    Fields["first_byte_ms"] = millis(*this->FirstByteAt - this->ReceivedAt);
+    Fields["first_byte_ms"] =
+        base::millisOf(*this->FirstByteAt - this->ReceivedAt);
   if (!RouteName.empty()) {
     Fields["route"] = RouteName;
     Fields["catalog"] = this->Catalog->Version.Value;
--- a/src/forwarding/internal/trafficcontext.h
+++ b/src/forwarding/internal/trafficcontext.h
@@ -9,6 +9,7 @@
 #include "dispatch/flowrate.h"
 #include "forwarding/forwarder.h"
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <random>
@@ -54,7 +55,7 @@
   std::map<std::pair<catalog::ServiceId, residency::Item>, residency::ItemUse>
       Use;
   std::uint64_t NextNumber = 1;
-  std::size_t Open = 0;
+  std::atomic<std::size_t> Open = 0;
   bool RefusesNew = false;
 
   /// Set by the forwarder.
--- a/src/http/internal/messageparser.cpp
+++ b/src/http/internal/messageparser.cpp
@@ -96,8 +96,6 @@
       this->Failed = make_error_code(ParseErrc::AmbiguousLength);
     if (!this->Failed && Error != HPE_OK && Error != HPE_PAUSED)
       this->Failed = make_error_code(ParseErrc::Malformed);
-    if (!this->Failed && this->Raw.upgrade != 0 && this->Complete)
-      return {Consumed, true, {}};
     return {Consumed, this->Complete, this->Failed};
   }
 
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -73,7 +73,7 @@
                    {{"open_requests", this->Traffic.openRequests()},
                     {"grace_ms", this->Options.Stop.Grace.count()}});
     this->Traffic.beginStop();
-    this->Control->leave([] {});
+    this->Control->leave();
     this->checkStopped();
   }
 
@@ -90,40 +90,42 @@
     return Out;
   }
 
-  base::Result<void> startReadiness() {
+  base::Result<void> serve(const base::Endpoint &At,
+                           http::RequestHandler Handler,
+                           std::unique_ptr<http::HttpServer> &To) {
     http::ServerSettings Listen;
-    Listen.Address = this->Options.Readiness.Address;
-    Listen.Port = this->Options.Readiness.Port;
-    auto Started = http::startHttpServer(
-        this->Loop, Listen,
+    Listen.Address = At.Address;
+    Listen.Port = At.Port;
+    auto Started =
+        http::startHttpServer(this->Loop, Listen, std::move(Handler));
+    if (!Started)
+      return tl::unexpected(Started.error());
+    To = std::move(*Started);
+    return {};
+  }
+
+  base::Result<void> startReadiness() {
+    return this->serve(
+        this->Options.Readiness,
         [this](const http::Request &, const http::ResponseWriterPtr &Answer) {
           constexpr int Ok = 200;
           constexpr int Unavailable = 503;
           bool Ready = this->Ready && !this->Stopping;
           Answer->respond({Ready ? Ok : Unavailable, {}, ""});
-        });
-    if (!Started)
-      return tl::unexpected(Started.error());
-    this->ReadinessServer = std::move(*Started);
-    return {};
+        },
+        this->ReadinessServer);
   }
 
   base::Result<void> startMetrics() {
-    http::ServerSettings Listen;
-    Listen.Address = this->Options.Metrics.Address;
-    Listen.Port = this->Options.Metrics.Port;
-    auto Started = http::startHttpServer(
-        this->Loop, Listen,
+    return this->serve(
+        this->Options.Metrics,
         [this](const http::Request &, const http::ResponseWriterPtr &Answer) {
           metrics::Source From{"kingcuphub-instance", this->Options.Name.Value,
                                this->Options.Zone};
           Answer->respond(http::jsonResponse(
               200, this->Metrics.json(From, this->Clock).dump()));
-        });
-    if (!Started)
-      return tl::unexpected(Started.error());
-    this->MetricsServer = std::move(*Started);
-    return {};
+        },
+        this->MetricsServer);
   }
 
   void checkStopped() {
@@ -147,8 +149,6 @@
       if (!Failed)
         this->checkStopped();
     });
-    // The number of open requests is brought up to date by any message.
-    this->Traffic.beginStop();
   }
 
   asio::io_context &Loop;
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -51,7 +51,6 @@
       this->Loop, Listen,
       [this](http::Request Asked, http::ResponseWriterPtr Answer) {
         this->Forwarder->handle(std::move(Asked), std::move(Answer));
-        this->Open = this->Forwarder->open();
       });
   if (!Started)
     return tl::unexpected(Started.error());
@@ -60,19 +59,12 @@
   return {};
 }
 
-template <typename Work> void TrafficThread::post(Work Do) {
-  asio::post(this->Loop, [this, Do = std::move(Do)]() mutable {
-    Do();
-    this->Open = this->Forwarder->open();
-  });
-}
-
 void TrafficThread::beginStop() {
-  this->post([this] { this->Server->endKeptConnections(); });
+  asio::post(this->Loop, [this] { this->Server->endKeptConnections(); });
 }
 
 void TrafficThread::stopAccepting() {
-  this->post([this] {
+  asio::post(this->Loop, [this] {
     this->Forwarder->refuseNew();
     this->Server->stopAccepting();
   });
@@ -88,39 +80,42 @@
 }
 
 void TrafficThread::setCatalog(catalog::CatalogPtr New) {
-  this->post([this, New = std::move(New)] {
+  asio::post(this->Loop, [this, New = std::move(New)] {
     this->applyLimits(New->Limits);
     this->Forwarder->setCatalog(New);
   });
 }
 
 void TrafficThread::setTargets(catalog::TargetListPtr New) {
-  this->post(
-      [this, New = std::move(New)] { this->Forwarder->setTargets(New); });
+  asio::post(this->Loop, [this, New = std::move(New)] {
+    this->Forwarder->setTargets(New);
+  });
 }
 
 void TrafficThread::setInstances(unsigned Count) {
-  this->post([this, Count] { this->Forwarder->setInstances(Count); });
+  asio::post(this->Loop,
+             [this, Count] { this->Forwarder->setInstances(Count); });
 }
 
 void TrafficThread::setHeld(
     std::map<base::TargetId, dispatch::HeldState> Held,
     std::map<dispatch::ServiceModel, base::TimePoint> Loading,
     base::TimePoint Until) {
-  this->post(
-      [this, Held = std::move(Held), Loading = std::move(Loading), Until] {
-        this->Forwarder->setLoading(Loading);
-        this->Forwarder->setHeld(Held, Until);
-      });
+  asio::post(this->Loop, [this, Held = std::move(Held),
+                          Loading = std::move(Loading), Until] {
+    this->Forwarder->setLoading(Loading);
+    this->Forwarder->setHeld(Held, Until);
+  });
 }
 
 void TrafficThread::onCredits(std::vector<forwarding::CreditNews> News) {
-  this->post(
-      [this, News = std::move(News)] { this->Forwarder->onCredits(News); });
+  asio::post(this->Loop, [this, News = std::move(News)] {
+    this->Forwarder->onCredits(News);
+  });
 }
 
 void TrafficThread::takeUse(std::function<void(forwarding::TrafficUse)> Done) {
-  this->post([this, Done = std::move(Done)] {
+  asio::post(this->Loop, [this, Done = std::move(Done)] {
     asio::post(this->ControlLoop,
                [Done, Use = this->Forwarder->takeUse()]() mutable {
                  Done(std::move(Use));
--- a/src/instance/internal/trafficthread.h
+++ b/src/instance/internal/trafficthread.h
@@ -12,7 +12,6 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
-#include <atomic>
 #include <memory>
 #include <thread>
 
@@ -32,7 +31,7 @@
   /// From now on each answer ends its connection.
   void beginStop();
   void stopAccepting();
-  std::size_t openRequests() const { return this->Open.load(); }
+  std::size_t openRequests() const { return this->Forwarder->open(); }
 
   void setCatalog(catalog::CatalogPtr New) override;
   void setTargets(catalog::TargetListPtr New) override;
@@ -44,7 +43,6 @@
   void takeUse(std::function<void(forwarding::TrafficUse)> Done) override;
 
 private:
-  template <typename Work> void post(Work Do);
   void applyLimits(const catalog::RequestLimits &Limits);
 
   asio::io_context &ControlLoop;
@@ -53,7 +51,6 @@
   const Settings &Options;
   std::unique_ptr<forwarding::Forwarder> Forwarder;
   std::unique_ptr<http::HttpServer> Server;
-  std::atomic<std::size_t> Open = 0;
   std::thread Thread;
 };
 
--- a/src/residency/internal/demandbook.cpp
+++ b/src/residency/internal/demandbook.cpp
@@ -77,20 +77,20 @@
 
 Demand DemandBook::of(const catalog::ServiceId &Service, const Item &What,
                       base::TimePoint Now) const {
-  auto Found = this->Services.find(Service);
-  if (Found == this->Services.end())
+  auto Items = this->Services.find(Service);
+  if (Items == this->Services.end())
     return {};
-  auto Entry = Found->second.find(What);
-  if (Entry == Found->second.end())
+  auto Found = Items->second.find(What);
+  if (Found == Items->second.end())
     return {};
+  const Entry &Of = Found->second;
   Demand Out;
-  const struct Entry &Of = Entry->second;
   Out.Work = Of.Work * fade(Of, this->Settings.Smoothing, Now);
   Out.HeldWork = std::max(
       Out.Work, Of.SlowWork * fade(Of, this->Settings.HeldSmoothing, Now));
-  Out.Recent = Now < Entry->second.AskedAt + this->Settings.RecentFor;
-  Out.InUse = Now < Entry->second.AskedAt + this->Settings.InUseFor;
-  for (const auto &[From, Told] : Entry->second.Waiting)
+  Out.Recent = Now < Of.AskedAt + this->Settings.RecentFor;
+  Out.InUse = Now < Of.AskedAt + this->Settings.InUseFor;
+  for (const auto &[From, Told] : Of.Waiting)
     if (Now < Told.second + this->Settings.WaitingHolds)
       Out.Waiting += Told.first;
   return Out;
