--- a/src/delivery/internal/modelcall.cpp
+++ b/src/delivery/internal/modelcall.cpp
@@ -39,6 +39,19 @@
   return "unknown";
 }
 
+tl::expected<base::TargetId, CallFailure>
+pickFirst(const ModelCallRequest &Request, const TargetPicker &Pick,
+          const std::set<base::TargetId> &Failed, RetryBudget &Budget,
+          base::TimePoint Now) {
+  if (Now >= Request.Deadline)
+    return tl::unexpected(CallFailure::DeadlinePassed);
+  auto First = Pick(Failed);
+  if (!First)
+    return tl::unexpected(CallFailure::NoTarget);
+  Budget.onFirstAttempt(Request.Account, *First);
+  return *First;
+}
+
 ModelCall::ModelCall(ModelCallRequest Request,
                      const ModelCallSettings &Settings, RetryBudget &Budget,
                      TargetPicker Pick)
@@ -47,16 +60,12 @@
 
 CallCommands ModelCall::begin(base::TimePoint Now) {
   CallCommands Out;
-  if (Now >= this->Request.Deadline) {
-    this->fail(CallFailure::DeadlinePassed, Out);
-    return Out;
-  }
-  auto First = this->Pick(this->Failed);
+  auto First =
+      pickFirst(this->Request, this->Pick, this->Failed, this->Budget, Now);
   if (!First) {
-    this->fail(CallFailure::NoTarget, Out);
+    this->fail(First.error(), Out);
     return Out;
   }
-  this->Budget.onFirstAttempt(this->Request.Account, *First);
   this->start(Now, *First, false, Out);
   return Out;
 }
--- a/src/delivery/internal/servicecall.cpp
+++ b/src/delivery/internal/servicecall.cpp
@@ -20,16 +20,12 @@
 
 ServiceCommands ServiceCall::begin(base::TimePoint Now) {
   ServiceCommands Out;
-  if (Now >= this->Request.Deadline) {
-    this->fail(CallFailure::DeadlinePassed, Out);
-    return Out;
-  }
-  auto First = this->Pick(this->Failed);
+  auto First =
+      pickFirst(this->Request, this->Pick, this->Failed, this->Budget, Now);
   if (!First) {
-    this->fail(CallFailure::NoTarget, Out);
+    this->fail(First.error(), Out);
     return Out;
   }
-  this->Budget.onFirstAttempt(this->Request.Account, *First);
   this->start(*First, Out);
   return Out;
 }
--- a/src/delivery/modelcall.h
+++ b/src/delivery/modelcall.h
@@ -21,6 +21,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tl/expected.hpp>
 #include <variant>
 #include <vector>
 
@@ -111,6 +112,13 @@
   bool MayHaveBeenSent = true;
 };
 
+/// The target of a call's first attempt, counted in the budget; else why there
+/// is none.
+tl::expected<base::TargetId, CallFailure>
+pickFirst(const ModelCallRequest &Request, const TargetPicker &Pick,
+          const std::set<base::TargetId> &Failed, RetryBudget &Budget,
+          base::TimePoint Now);
+
 class ModelCall {
 public:
   ModelCall(ModelCallRequest Request, const ModelCallSettings &Settings,
--- a/src/gateway/internal/modelexchange.cpp
+++ b/src/gateway/internal/modelexchange.cpp
@@ -31,6 +31,7 @@
                 this->Request.PromptTokens + this->Request.OutputTokens,
                 {this->Request.Model, {}, this->Request.Prefix, {}},
                 std::move(Claim)),
+      Place(Context.Dispatch, this->Admission),
       Meter(Context.Metrics,
             {{"account", this->Who.account().Value},
              {"route", this->Who.Route.Id.Value},
@@ -40,7 +41,7 @@
             this->Who.Deadline},
            Context.Options.Calls, Context.Budget,
            [this](const std::set<base::TargetId> &Avoid) {
-             return this->pick(Avoid);
+             return this->Place.pick(Avoid);
            }) {}
 
 void ModelExchange::start() {
@@ -110,7 +111,7 @@
   const state::Config &Config = *this->Context.View.Config;
   auto Found = Config.Targets.find(Start.Target);
   bool MaySend = Found != Config.Targets.end() &&
-                 this->takePlace(Start.Target) && this->Admission.takeSend();
+                 this->Place.take(Start.Target) && this->Admission.takeSend();
   if (!MaySend) {
     this->run(this->Call.onEnd(this->Context.Clock.now(), Start.Attempt,
                                {false, false}));
@@ -171,14 +172,6 @@
   return Out;
 }
 
-std::optional<base::TargetId>
-ModelExchange::pick(const std::set<base::TargetId> &Avoid) {
-  if (std::exchange(this->FirstPicked, true))
-    return this->Admission.chooseAgain(Avoid);
-  this->Lease = this->Admission.takeLease();
-  return this->Lease ? std::optional(this->Lease->target()) : std::nullopt;
-}
-
 routing::RequestEnd
 ModelExchange::endOf(const http::TransferResult &Result) const {
   bool Complete = Result.End == http::TransferEnd::Complete;
@@ -188,19 +181,9 @@
              : routing::RequestEnd::Failed;
 }
 
-bool ModelExchange::takePlace(const base::TargetId &Target) {
-  if (this->Lease && this->Lease->target() == Target)
-    return true;
-  this->Lease.reset();
-  this->Lease = this->Context.Dispatch.lease(Target);
-  return this->Lease.has_value();
-}
-
 void ModelExchange::endAttempt(routing::RequestEnd How) {
   this->Transfer.reset();
-  if (this->Lease)
-    this->Lease->end(How);
-  this->Lease.reset();
+  this->Place.end(How);
 }
 
 void ModelExchange::carryOut(const delivery::AbandonAttempt &Abandon) {
@@ -235,10 +218,10 @@
 void ModelExchange::carryOut(delivery::DeliverToken &Token) {
   ++this->Delivered;
   this->Meter.onToken(this->Context.Clock.now());
-  if (!std::exchange(this->SeenToken, true) && this->Lease)
-    this->Lease->firstToken(
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            this->Context.Clock.now() - this->AttemptAt));
+  TargetLease *Lease = this->Place.lease();
+  if (!std::exchange(this->SeenToken, true) && Lease != nullptr)
+    Lease->firstToken(std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->Context.Clock.now() - this->AttemptAt));
   // A claim's result is kept whole, for callers that come later.
   if (!this->Request.Stream || this->Admission.outlivesCaller())
     this->Composer.add(Token.Chunk);
--- a/src/gateway/internal/modelexchange.h
+++ b/src/gateway/internal/modelexchange.h
@@ -10,6 +10,7 @@
 #include "delivery/modelcall.h"
 #include "requestadmission.h"
 #include "requestmeter.h"
+#include "targetplace.h"
 #include "trafficcontext.h"
 
 #include <memory>
@@ -44,10 +45,7 @@
   http::TransferCallbacks callbacksOf(const base::RequestId &Attempt);
   http::ClientRequest engineRequest(const delivery::StartAttempt &Start,
                                     const state::Target &Target) const;
-  std::optional<base::TargetId> pick(const std::set<base::TargetId> &Avoid);
   routing::RequestEnd endOf(const http::TransferResult &Result) const;
-  /// Takes the place at the target; false if there is none.
-  bool takePlace(const base::TargetId &Target);
   void endAttempt(routing::RequestEnd How);
   void beginStream();
   void deliverStored(const delivery::StoredAnswer &Stored);
@@ -60,17 +58,16 @@
   http::ResponseWriterPtr Answer;
   CompletionResponse Composer;
   RequestAdmission Admission;
+  TargetPlace Place;
   RequestMeter Meter;
   delivery::ModelCall Call;
   std::optional<http::TransferId> Transfer;
-  std::optional<TargetLease> Lease;
   std::int64_t Delivered = 0;
   base::TimePoint AttemptAt;
   base::TimePoint DoneAt;
   bool SeenToken = false;
   bool CallerGone = false;
   bool Streaming = false;
-  bool FirstPicked = false;
   bool Done = false;
 };
 
--- a/src/gateway/internal/serviceexchange.cpp
+++ b/src/gateway/internal/serviceexchange.cpp
@@ -40,6 +40,7 @@
       Answer(std::move(Answer)),
       Admission(Context, this->Who, this->Who.Route.Cost,
                 {{}, this->Who.Route.Services, 0, {}}, std::move(Claim)),
+      Place(Context.Dispatch, this->Admission),
       Meter(Context.Metrics,
             {{"account", this->Who.account().Value},
              {"route", this->Who.Route.Id.Value},
@@ -48,7 +49,7 @@
       Call({this->Who.Request, this->Who.account(), this->Who.Route.Idempotent,
             this->Who.Deadline},
            {}, Context.Budget, [this](const std::set<base::TargetId> &Avoid) {
-             return this->pick(Avoid);
+             return this->Place.pick(Avoid);
            }) {}
 
 void ServiceExchange::start() {
@@ -104,7 +105,7 @@
 void ServiceExchange::carryOut(const delivery::StartServiceAttempt &Start) {
   const auto &Targets = this->Context.View.Config->Targets;
   auto Found = Targets.find(Start.Target);
-  bool MaySend = Found != Targets.end() && this->takePlace(Start.Target) &&
+  bool MaySend = Found != Targets.end() && this->Place.take(Start.Target) &&
                  this->Admission.takeSend();
   if (!MaySend) {
     this->run(this->Call.onEnd(this->Context.Clock.now(), Start.Attempt,
@@ -178,27 +179,9 @@
                              std::move(this->Collected)));
 }
 
-std::optional<base::TargetId>
-ServiceExchange::pick(const std::set<base::TargetId> &Avoid) {
-  if (std::exchange(this->FirstPicked, true))
-    return this->Admission.chooseAgain(Avoid);
-  this->Lease = this->Admission.takeLease();
-  return this->Lease ? std::optional(this->Lease->target()) : std::nullopt;
-}
-
-bool ServiceExchange::takePlace(const base::TargetId &Target) {
-  if (this->Lease && this->Lease->target() == Target)
-    return true;
-  this->Lease.reset();
-  this->Lease = this->Context.Dispatch.lease(Target);
-  return this->Lease.has_value();
-}
-
 void ServiceExchange::endAttempt(routing::RequestEnd How) {
   this->Transfer.reset();
-  if (this->Lease)
-    this->Lease->end(How);
-  this->Lease.reset();
+  this->Place.end(How);
 }
 
 void ServiceExchange::carryOut(const delivery::DropServiceAttempt &) {
--- a/src/gateway/internal/serviceexchange.h
+++ b/src/gateway/internal/serviceexchange.h
@@ -8,6 +8,7 @@
 #include "delivery/servicecall.h"
 #include "requestadmission.h"
 #include "requestmeter.h"
+#include "targetplace.h"
 #include "trafficcontext.h"
 
 #include <memory>
@@ -40,9 +41,6 @@
   http::ClientRequest serviceRequest(const delivery::StartServiceAttempt &Start,
                                      const state::Target &Target) const;
   http::TransferCallbacks callbacksOf(const base::RequestId &Attempt);
-  std::optional<base::TargetId> pick(const std::set<base::TargetId> &Avoid);
-  /// Takes the place at the target; false if there is none.
-  bool takePlace(const base::TargetId &Target);
   void endAttempt(routing::RequestEnd How);
   void deliverStored(const delivery::StoredAnswer &Stored);
   void refuse(const Refusal &Why);
@@ -53,12 +51,11 @@
   http::Request Request;
   http::ResponseWriterPtr Answer;
   RequestAdmission Admission;
+  TargetPlace Place;
   RequestMeter Meter;
   delivery::ServiceCall Call;
   http::Response Collected;
   std::optional<http::TransferId> Transfer;
-  std::optional<TargetLease> Lease;
-  bool FirstPicked = false;
   bool Done = false;
 };
 
