A short call is not refused by what was told a long stream

Load: an account well under its burst runs short calls, then one long stream. Cause: the gateway's credit book kept one time for all amounts, so that a call of 4 tokens was refused by the time told for 2,000. Change: a refusal holds only for amounts above half of what was refused; a smaller one is asked for at once. Test: RateWaitTest.AShortCallIsAskedForAfterALongStreamWasRefused; it failed before (the call was refused without being asked for).

--- a/src/admission/creditbook.h
+++ b/src/admission/creditbook.h
@@ -73,10 +73,11 @@
   std::vector<CreditCommand> tick(base::TimePoint Now);
 
   std::int64_t held(const base::QuantityId &Quantity) const;
-  /// When the agent last said that asking is worthwhile again; nothing once
-  /// it has granted all that was asked.
-  std::optional<base::TimePoint>
-  askAgainAt(const base::QuantityId &Quantity) const;
+  /// When the agent last said that asking is worthwhile again, as far as this
+  /// holds for \p Amount; nothing once it has granted all that was asked, or if
+  /// it refused far more than that.
+  std::optional<base::TimePoint> askAgainAt(const base::QuantityId &Quantity,
+                                            std::int64_t Amount) const;
 
 private:
   struct Holding {
@@ -84,6 +85,9 @@
     std::int64_t Wanted = 0;
     std::int64_t Reserve = 0;
     std::uint64_t PendingRequest = 0;
+    /// How much the last question asked for, and how much of it was refused.
+    std::int64_t Asked = 0;
+    std::int64_t Refused = 0;
     base::TimePoint AskedAt{};
     base::TimePoint AskAgainAt{};
     base::TimePoint TouchedAt{};
@@ -94,6 +98,7 @@
   };
 
   void rollHorizon(Holding &Each, base::TimePoint Now) const;
+  static bool refusedFor(const Holding &Each, std::int64_t Amount);
 
   CreditBookSettings Settings;
   std::map<base::QuantityId, Holding> Holdings;
--- a/src/admission/internal/creditbook.cpp
+++ b/src/admission/internal/creditbook.cpp
@@ -47,8 +47,9 @@
   if (Request != Each.PendingRequest)
     return;
   Each.PendingRequest = 0;
-  Each.AskAgainAt =
-      RetryAfter.count() > 0 ? Now + RetryAfter : base::TimePoint{};
+  bool Lacks = RetryAfter.count() > 0;
+  Each.AskAgainAt = Lacks ? Now + RetryAfter : base::TimePoint{};
+  Each.Refused = Lacks ? Each.Asked - Amount : 0;
 }
 
 std::vector<CreditCommand> CreditBook::tick(base::TimePoint Now) {
@@ -64,11 +65,14 @@
                       Now - Each.AskedAt < this->Settings.AskTimeout;
     // Asked for at half, so that the answer is there before the rest is used.
     bool Low = Each.Balance < Each.Wanted || Each.Balance * 2 < Target;
-    if (Low && !Unanswered && Now >= Each.AskAgainAt) {
+    bool Due = Now >= Each.AskAgainAt;
+    std::int64_t Lacking = (Due ? Target : Each.Wanted) - Each.Balance;
+    bool Worthwhile = Due || (Lacking > 0 && !refusedFor(Each, Lacking));
+    if (Low && !Unanswered && Worthwhile) {
       Each.PendingRequest = ++this->LastRequest;
       Each.AskedAt = Now;
-      Out.push_back(
-          AskCredit{Quantity, Target - Each.Balance, Each.PendingRequest});
+      Each.Asked = Lacking;
+      Out.push_back(AskCredit{Quantity, Lacking, Each.PendingRequest});
     }
     bool Idle = Each.Wanted == 0 && Ahead == 0 && Each.Balance > 0 && !Recent;
     if (!Idle)
@@ -84,11 +88,19 @@
   return Found == this->Holdings.end() ? 0 : Found->second.Balance;
 }
 
+/// Whether the last refusal says anything about \p Amount: an account that
+/// lacks a long stream's tokens may well have those of a short call.
+bool CreditBook::refusedFor(const Holding &Each, std::int64_t Amount) {
+  return 2 * Amount > Each.Refused;
+}
+
 std::optional<base::TimePoint>
-CreditBook::askAgainAt(const base::QuantityId &Quantity) const {
+CreditBook::askAgainAt(const base::QuantityId &Quantity,
+                       std::int64_t Amount) const {
   auto Found = this->Holdings.find(Quantity);
   if (Found == this->Holdings.end() ||
-      Found->second.AskAgainAt == base::TimePoint{})
+      Found->second.AskAgainAt == base::TimePoint{} ||
+      !refusedFor(Found->second, Amount))
     return std::nullopt;
   return Found->second.AskAgainAt;
 }
--- a/src/admission/internal/ratewait.cpp
+++ b/src/admission/internal/ratewait.cpp
@@ -57,7 +57,7 @@
   auto Refill = std::chrono::milliseconds(static_cast<std::int64_t>(
       std::ceil(static_cast<double>(std::max<std::int64_t>(Amount, 0)) /
                 Each.PerSecond * MillisPerSecond)));
-  auto AskAgain = this->Book.askAgainAt(Quantity);
+  auto AskAgain = this->Book.askAgainAt(Quantity, Amount);
   if (!AskAgain || *AskAgain <= Now)
     return Refill;
   return std::max(
@@ -78,8 +78,10 @@
   for (TokenWait &Wait : Each.Waiting) {
     std::int64_t Missing = Ahead + Wait.Cost.Value - Held;
     // Until the agent says that no more is there, a whole burst may be.
-    std::int64_t AtOnce = this->Book.askAgainAt(Quantity) ? 0 : Each.Burst;
-    auto Soonest = this->refillTime(Quantity, Each, Missing - AtOnce, Now);
+    bool Refused = this->Book.askAgainAt(Quantity, Missing).has_value();
+    auto Soonest = Refused ? this->refillTime(Quantity, Each, Missing, Now)
+                           : this->refillTime(Quantity, Each,
+                                              Missing - Each.Burst, Now);
     bool InTime = Wait.Cost.Value <= Each.Burst && Now < Wait.StartBy &&
                   Now + Soonest <= Wait.StartBy;
     if (InTime) {
--- a/src/admission/tests/admissiontest.cpp
+++ b/src/admission/tests/admissiontest.cpp
@@ -214,6 +214,24 @@
   EXPECT_EQ(std::get<TokensRefused>(Out[0]).RetryAfter, milliseconds(5000));
 }
 
+TEST(RateWaitTest, AShortCallIsAskedForAfterALongStreamWasRefused) {
+  CreditBook Book({});
+  RateWait Wait(Book);
+  Wait.add(Acme, {{"stream"}, {"acme"}, {900}, Start + seconds(1)}, Start);
+  EXPECT_TRUE(Wait.tick(Start).empty());
+  auto Asked = std::get<AskCredit>(Book.tick(Start).at(0));
+  Book.credited(Asked.Quantity, 0, Asked.Request, milliseconds(9000), Start);
+  ASSERT_EQ(Wait.tick(Start).size(), 1U);
+  Wait.add(Acme, {{"call"}, {"acme"}, {4}, Start + seconds(1)}, Start);
+  EXPECT_TRUE(Wait.tick(Start).empty());
+  auto Again = std::get<AskCredit>(Book.tick(Start).at(0));
+  EXPECT_EQ(Again.Amount, 4);
+  Book.credited(Again.Quantity, 0, Again.Request, milliseconds(3000), Start);
+  EXPECT_EQ(Wait.tick(Start).size(), 1U);
+  Wait.add(Acme, {{"next"}, {"acme"}, {4}, Start + seconds(1)}, Start);
+  EXPECT_EQ(Wait.tick(Start).size(), 1U);
+}
+
 TEST(RateWaitTest, AFewRequestsAreKeptAtHandWhileTheAccountIsInUse) {
   CreditBook Book({});
   RateWait Wait(Book);
