Planned replacements in quick series leave nobody without tokens

Cause, by a trace of every short grant: an epoch was settled at once only if the one before had been agreed for 3 s. Three instances replaced within 9 s gave epochs 1.9 s apart, none of which settled: the restarted instances held no units, the last one that held any left, and for 2 s nobody had any. Also, the agent told the time of the account's refill while it was still asking peers, and kept the time told to a large request for a small one. Change: who saw the former epoch settled says so in its confirmation, and then the word of all who left is enough. No time is told while holders are being asked; a request for half or less of what was refused is asked for at once. Ruled out: units lost in transfers (none), a gateway without a fresh proof (usable throughout). Tests: SharesTest.PlannedReplacementsInQuickSeriesKeepEveryUnit, NoTimeIsToldWhileOtherHoldersAreBeingAsked, AShortCallIsAskedForAfterALongStreamWasRefused; the first and third failed before.

--- a/src/shares/internal/shares.cpp
+++ b/src/shares/internal/shares.cpp
@@ -92,8 +92,8 @@
   EpochView Next = parseEpoch(New);
   EpochView Last = parseEpoch(Before);
   bool Follows = Last.Number == this->Current.Number;
-  this->FormerWasOld =
-      Follows && this->AgreedAt && Now - *this->AgreedAt >= this->lapse();
+  bool Lapsed = this->AgreedAt && Now - *this->AgreedAt >= this->lapse();
+  this->FormerSettled = Follows && (this->Settled || Lapsed);
   bool Goes = Follows && this->inEpoch();
   this->dropRemoved();
   this->Snapshot = Goes ? this->snapshot() : HeldParts{};
@@ -203,11 +203,17 @@
   if (Each == nullptr || !Each->Whole || !this->usable(Now))
     return {0, MaxAskAgain};
   std::int64_t Given = Each->Part.grant(Amount);
-  this->noteTaken(Each->Need, Given, Now);
-  Each->Need.Wanted = Amount - Given;
+  std::int64_t Lacking = Amount - Given;
+  Demand &Need = Each->Need;
+  this->noteTaken(Need, Given, Now);
+  Need.Wanted = Lacking;
+  // What was refused to a large request may well be there for a small one.
+  if (2 * Lacking <= Need.RefusedWanted)
+    Need.AskAgainAt = {};
   this->ask(Quantity, *Each, Now, Out);
-  return {Given, Given < Amount ? retryAfter(*Each, Amount - Given)
-                                : base::Duration{0}};
+  bool Known = Need.Request == 0;
+  return {Given, Lacking > 0 && Known ? retryAfter(*Each, Lacking)
+                                      : base::Duration{0}};
 }
 
 void Shares::spend(const base::QuantityId &Quantity, std::int64_t Amount,
@@ -363,6 +369,7 @@
   wire::PeerMessage Message;
   wire::EpochConfirm &Body = *Message.mutable_epoch_confirm();
   Body.set_epoch(this->Current.Number.Value);
+  Body.set_former_settled(this->FormerSettled);
   for (const auto &[Quantity, Part] : this->heldOf(Primary)) {
     wire::Holding *Added = Body.add_holdings();
     Added->set_quantity(Quantity.Value);
@@ -404,6 +411,7 @@
   for (const wire::Holding &Each : Body.holdings())
     Held[{Each.quantity()}] = {Each.units(), Each.free(), Each.refill_micros()};
   this->Count.confirm(From, std::move(Held));
+  this->FormerSettled |= Body.former_settled();
   wire::PeerMessage Answer;
   Answer.mutable_epoch_confirm_ack()->set_epoch(Body.epoch());
   this->send(From, std::move(Answer), Out);
@@ -413,7 +421,8 @@
   if (!this->usable(Now) || !this->Count.allStayedConfirmed())
     return false;
   // Nobody who left can spend any more: by their word, or by the time.
-  if (this->Count.first() || (this->Count.allConfirmed() && this->FormerWasOld))
+  if (this->Count.first() ||
+      (this->Count.allConfirmed() && this->FormerSettled))
     return true;
   return this->AgreedAt && Now - *this->AgreedAt >= this->lapse();
 }
@@ -520,8 +529,10 @@
   Need.ShortAnswers = 0;
   // Nobody has enough: what several have may do together.
   Need.Gathering = !Need.Gathering && this->otherHolders(Each) > 1;
-  if (!Need.Gathering)
-    Need.AskAgainAt = Now + std::clamp(Wait, MinAskAgain, MaxAskAgain);
+  if (Need.Gathering)
+    return;
+  Need.AskAgainAt = Now + std::clamp(Wait, MinAskAgain, MaxAskAgain);
+  Need.RefusedWanted = Need.Wanted;
 }
 
 std::size_t Shares::otherHolders(const Entry &Each) const {
--- a/src/shares/shares.h
+++ b/src/shares/shares.h
@@ -60,7 +60,7 @@
 struct Grant {
   std::int64_t Amount = 0;
   /// With less than was asked for: when the rest can be there, by the whole
-  /// quantity's refill.
+  /// quantity's refill; 0 while other holders are still being asked for it.
   base::Duration RetryAfter{0};
 };
 
@@ -131,6 +131,8 @@
     std::uint64_t Request = 0;
     base::TimePoint AskedAt{};
     base::TimePoint AskAgainAt{};
+    /// What was wanted when the last round of asking ended without it.
+    std::int64_t RefusedWanted = 0;
     /// Holders that had nothing in this round of asking.
     std::size_t ShortAnswers = 0;
     /// No holder had enough, so that parts are taken too.
@@ -233,9 +235,9 @@
   EpochView Former;
   Reconciliation Count;
   bool Settled = false;
-  /// The former epoch had been agreed for so long that nobody could use an
-  /// earlier one when this one came.
-  bool FormerWasOld = false;
+  /// Nobody could use an epoch before the former one when this one came, as
+  /// this instance or one that confirmed saw the former one settled.
+  bool FormerSettled = false;
   std::optional<base::TimePoint> AgreedAt;
   AgreedVersions Agreed;
   std::map<base::QuantityId, Entry> Entries;
--- a/src/shares/tests/sharestest.cpp
+++ b/src/shares/tests/sharestest.cpp
@@ -144,6 +144,21 @@
   EXPECT_TRUE(All.agent(2)->confirmed());
 }
 
+TEST(SharesTest, PlannedReplacementsInQuickSeriesKeepEveryUnit) {
+  Cluster All = threeThirds();
+  for (std::size_t Index = 0; Index < 3; ++Index) {
+    All.appendEpoch([Index](std::size_t Each) { return Each == Index; });
+    All.run(600ms);
+    All.kill(Index);
+    All.start(Index);
+    All.appendEpoch(nobody);
+    All.run(600ms);
+    EXPECT_EQ(All.held(Tokens).Units, Burst) << Index;
+    EXPECT_EQ(unitsAt(All, Index), Burst / 3) << Index;
+  }
+  EXPECT_EQ(All.overshoot(), 0);
+}
+
 TEST(SharesTest, TwoQuickEpochsDoNotShortenTheLapseOfTheFirst) {
   Cluster All = threeThirds();
   All.isolate(2, true);
@@ -234,3 +249,37 @@
   All.run(5s);
   EXPECT_EQ(All.held(Tokens).Units, Burst);
 }
+
+TEST(SharesTest, NoTimeIsToldWhileOtherHoldersAreBeingAsked) {
+  Cluster All = threeThirds();
+  Commands Asks;
+  Grant Part = All.agent(0)->take(Tokens, Burst / 2, All.now(), Asks);
+  EXPECT_EQ(Part.Amount, Burst / 3);
+  EXPECT_FALSE(Asks.empty());
+  EXPECT_EQ(Part.RetryAfter, 0s);
+}
+
+TEST(SharesTest, AShortCallIsAskedForAfterALongStreamWasRefused) {
+  Cluster All = threeThirds();
+  Shares &Asker = *All.agent(0);
+  base::TimePoint Now = All.now();
+  Commands Asks;
+  Asker.take(Tokens, 5 * Burst, Now, Asks);
+  // Both other holders refuse, twice: for the whole, then for parts.
+  for (int Answer = 0; Answer < 4; ++Answer) {
+    const auto &Asked = std::get<SendToPeer>(Asks.back());
+    wire::PeerMessage Refusal;
+    wire::ShareTransfer &Body = *Refusal.mutable_share_transfer();
+    Body.set_quantity(Tokens.Value);
+    Body.set_epoch(Asker.epoch().Number.Value);
+    Body.set_request(Asked.Message.share_request().request());
+    Body.set_retry_after_ms(9000);
+    Refusal.mutable_from()->CopyFrom(membership::toWire(Asked.To));
+    Asks = Asker.receive(Refusal, Now);
+    ASSERT_EQ(Asks.empty(), Answer == 3);
+  }
+  EXPECT_GT(Asker.take(Tokens, 5 * Burst, Now, Asks).RetryAfter, 0s);
+  EXPECT_TRUE(Asks.empty());
+  EXPECT_EQ(Asker.take(Tokens, 4, Now, Asks).RetryAfter, 0s);
+  EXPECT_FALSE(Asks.empty());
+}
