The holder tells what engines hold by differences

Load: adapters come and go many times a second on 60 engines, 61 instances follow, and a machine's link carries 10 Mbit/s. Cause: each change went to every instance as the whole list; the holder's link filled, its calls to the store timed out (store-lost, lease-not-appended unknown), and the lease lapsed. Change: ChangeBook and ChangeReader: what changed since the revision that an instance has; at most one message in 10 ms.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -40,6 +40,9 @@
   /// adapter to be loaded.
   std::chrono::milliseconds UrgentReportEvery{5};
   std::chrono::milliseconds Tick{50};
+  /// The least time between two messages of the holder's on what engines hold:
+  /// about as long as an adapter takes to be fetched.
+  std::chrono::milliseconds PublishEvery{10};
   /// How long the holder's word on what engines hold is good for.
   std::chrono::milliseconds HeldFor{2000};
   /// An instance that was not heard for this long no longer counts where
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -316,7 +316,7 @@
     Out.set_instance(this->Settings.Self.Value);
     Out.set_incarnation(this->Settings.Incarnation.Value);
     Out.set_number(++this->ReportNumber);
-    Out.set_held_revision(this->HeldRevision);
+    Out.set_held_revision(this->Held.revision());
     Out.set_held_token(this->HeldToken);
     return Out;
   }
@@ -338,12 +338,14 @@
       return;
     this->Lease.onWord({Reply.lease_end()},
                        std::chrono::milliseconds(Reply.lease_left_ms()), Now);
+    if (this->HeldToken != Reply.token())
+      this->Held.forget();
     this->HeldToken = Reply.token();
-    this->HeldRevision = Reply.held_revision();
     if (Reply.held_included())
-      this->Held = readHeld(Reply);
-    this->Traffic.setHeld(this->Held, readLoading(Reply, Now),
-                          Now + this->Settings.HeldFor);
+      this->Held.apply(readHeld(Reply));
+    if (Reply.held_revision() == this->Held.revision())
+      this->Traffic.setHeld(this->Held.values(), readLoading(Reply, Now),
+                            Now + this->Settings.HeldFor);
     if (Reply.instances() > 0)
       this->Traffic.setInstances(Reply.instances());
     this->Traffic.onCredits(readGrants(Reply));
@@ -375,8 +377,7 @@
   std::string HolderEndpoint;
   std::uint64_t ReportNumber = 0;
   std::uint64_t HeldToken = 0;
-  std::uint64_t HeldRevision = 0;
-  std::map<base::TargetId, dispatch::HeldState> Held;
+  HeldReader Held;
 };
 
 } // namespace
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -54,7 +54,7 @@
   this->HeldSince = Now;
   this->Instances.clear();
   this->Clients.clear();
-  this->Published.clear();
+  this->Held.clear();
   this->Usage.start(Now);
 }
 
@@ -94,10 +94,10 @@
   this->Holder.onUse(Instance, readItems(Report), Now);
   wire::HolderReply Reply = this->newReply(Now);
   Reply.set_number(Report.number());
-  bool Has = Report.held_token() == this->Token->Value &&
-             Report.held_revision() == this->PublishedRevision;
-  if (!Has)
-    writeHeld(this->Published, Reply);
+  std::uint64_t Known =
+      Report.held_token() == this->Token->Value ? Report.held_revision() : 0;
+  if (Known != this->Held.revision())
+    writeHeld(this->Held.since(Known), Reply);
   this->answerCredits(Report, Reply);
   this->Server->send(From, Reply.SerializeAsString());
   bool Waited =
@@ -152,21 +152,20 @@
        this->Holder.tick(this->Clock.now()))
     this->carryOut(Each);
   this->publish();
-  this->publishLater();
 }
 
-/// Adapters come to be held some milliseconds after their order.
-void HolderSide::publishLater() {
-  base::TimePoint Now = this->Clock.now();
-  auto Next = this->Holder.engines().nextChange(Now);
-  if (!Next)
+void HolderSide::publishAt(base::TimePoint At) {
+  if (this->PublishDue && *this->PublishDue <= At)
     return;
-  this->PublishTimer.expires_after(*Next - Now);
+  this->PublishDue = At;
+  this->PublishTimer.expires_after(
+      std::max(At - this->Clock.now(), base::Duration::zero()));
   this->PublishTimer.async_wait([this](asio::error_code Failed) {
-    if (Failed || !this->Token)
+    if (Failed)
       return;
-    this->publish();
-    this->publishLater();
+    this->PublishDue.reset();
+    if (this->Token)
+      this->publish();
   });
 }
 
@@ -177,7 +176,7 @@
   Out.set_lease_end(this->Lease.end().Value);
   Out.set_lease_left_ms(
       static_cast<std::uint32_t>(this->Lease.left(Now).count()));
-  Out.set_held_revision(this->PublishedRevision);
+  Out.set_held_revision(this->Held.revision());
   writeLoading(this->Holder.engines().loading(Now), Now, Out);
   return Out;
 }
@@ -187,23 +186,35 @@
     return;
   wire::HolderReply News;
   News.set_token(this->Token->Value);
-  News.set_held_revision(this->PublishedRevision);
+  News.set_held_revision(this->Held.revision());
   News.set_leaving(true);
   std::string Bytes = News.SerializeAsString();
   for (const auto &[Client, At] : this->Clients)
     this->Server->send(Client, Bytes);
 }
 
-/// Tells every instance at once where what engines hold has changed.
+HeldBook::Values HolderSide::heldNow() const {
+  HeldBook::Values Out;
+  for (const auto &[Id, Each] : this->Holder.engines().held(this->Clock.now()))
+    Out[Id] = {Each.first, Each.second};
+  return Out;
+}
+
+/// Tells every instance what has changed of what engines hold.
 void HolderSide::publish() {
   base::TimePoint Now = this->Clock.now();
-  HeldTargets Held = this->Holder.engines().held(Now);
-  if (Held == this->Published)
+  base::TimePoint Earliest = this->PublishedAt + this->Settings.PublishEvery;
+  if (Now < Earliest)
+    return this->publishAt(Earliest);
+  // Adapters come to be held some milliseconds after their order.
+  if (auto Next = this->Holder.engines().nextChange(Now))
+    this->publishAt(std::max(*Next, Now + this->Settings.PublishEvery));
+  std::uint64_t Before = this->Held.revision();
+  if (!this->Held.update(this->heldNow()))
     return;
-  this->Published = std::move(Held);
-  ++this->PublishedRevision;
+  this->PublishedAt = Now;
   wire::HolderReply News = this->newReply(Now);
-  writeHeld(this->Published, News);
+  writeHeld(this->Held.since(Before), News);
   std::string Bytes = News.SerializeAsString();
   for (auto Each = this->Clients.begin(); Each != this->Clients.end();) {
     if (Now > Each->second + this->Settings.HeldFor) {
--- a/src/control/internal/holderside.h
+++ b/src/control/internal/holderside.h
@@ -40,8 +40,11 @@
   void countSilent(base::TimePoint Now);
   /// What every message to an instance says.
   wire::HolderReply newReply(base::TimePoint Now) const;
+  /// Where each engine's state is known, by the newest reports and answers.
+  HeldBook::Values heldNow() const;
   void publish();
-  void publishLater();
+  /// Arranges for publish() at \p At, unless it is due earlier.
+  void publishAt(base::TimePoint At);
   void carryOut(const residency::HolderCommand &Command);
   void ask(const residency::AskReport &Command);
   void send(const residency::SendOrder &Command);
@@ -62,9 +65,10 @@
   /// When each was last heard of.
   std::map<base::InstanceId, base::TimePoint> Instances;
   std::map<messaging::ClientName, base::TimePoint> Clients;
-  HeldTargets Published;
-  std::uint64_t PublishedRevision = 0;
+  HeldBook Held;
   asio::steady_timer PublishTimer;
+  base::TimePoint PublishedAt;
+  std::optional<base::TimePoint> PublishDue;
 };
 
 } // namespace kingcuphub::control
--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -51,13 +51,18 @@
                Each);
 }
 
-void writeHeld(const HeldTargets &Held, wire::HolderReply &To) {
+void writeHeld(const HeldDifference &News, wire::HolderReply &To) {
   To.set_held_included(true);
-  for (const auto &[Id, State] : Held) {
+  To.set_held_base(News.Base);
+  To.set_held_revision(News.Revision);
+  for (const auto &[Id, State] : News.Changes) {
     wire::HeldTarget &Out = *To.add_held();
     Out.set_target(Id.Value);
-    Out.set_lifetime(State.first.Value);
-    for (const auto &[Model, Each] : State.second) {
+    Out.set_gone(!State.has_value());
+    if (!State)
+      continue;
+    Out.set_lifetime(State->Lifetime.Value);
+    for (const auto &[Model, Each] : State->Models) {
       wire::HeldModel &One = *Out.add_models();
       One.set_model(Model.Value);
       for (const base::AdapterId &Adapter : Each.Adapters)
@@ -66,14 +71,16 @@
   }
 }
 
-std::map<base::TargetId, dispatch::HeldState>
-readHeld(const wire::HolderReply &From) {
-  std::map<base::TargetId, dispatch::HeldState> Out;
+HeldDifference readHeld(const wire::HolderReply &From) {
+  HeldDifference Out{From.held_base(), From.held_revision(), {}};
   for (const wire::HeldTarget &Each : From.held()) {
-    dispatch::HeldState &State = Out[{Each.target()}];
-    State.Lifetime.Value = Each.lifetime();
+    auto &[Id, State] = Out.Changes.emplace_back();
+    Id.Value = Each.target();
+    if (Each.gone())
+      continue;
+    State.emplace().Lifetime.Value = Each.lifetime();
     for (const wire::HeldModel &Model : Each.models()) {
-      catalog::HeldModel &One = State.Models[{Model.model()}];
+      catalog::HeldModel &One = State->Models[{Model.model()}];
       for (const std::string &Adapter : Model.adapters())
         One.Adapters.insert({Adapter});
     }
--- a/src/control/internal/linkmessages.h
+++ b/src/control/internal/linkmessages.h
@@ -5,6 +5,7 @@
 /// The messages between instances and the holder, to and from the product's
 /// types.
 
+#include "changebook.h"
 #include "forwarding/forwarder.h"
 
 #include <fleet.pb.h>
@@ -13,17 +14,17 @@
 
 namespace kingcuphub::control {
 
-using HeldTargets =
-    std::map<base::TargetId, std::pair<catalog::Lifetime, catalog::HeldModels>>;
+using HeldBook = ChangeBook<base::TargetId, dispatch::HeldState>;
+using HeldReader = ChangeReader<base::TargetId, dispatch::HeldState>;
+using HeldDifference = Difference<base::TargetId, dispatch::HeldState>;
 
 void writeUse(const forwarding::TrafficUse &Use, wire::InstanceReport &To);
 std::vector<residency::ItemUse> readItems(const wire::InstanceReport &From);
 void writeCredits(const std::vector<admission::CreditCommand> &Commands,
                   wire::InstanceReport &To);
 
-void writeHeld(const HeldTargets &Held, wire::HolderReply &To);
-std::map<base::TargetId, dispatch::HeldState>
-readHeld(const wire::HolderReply &From);
+void writeHeld(const HeldDifference &News, wire::HolderReply &To);
+HeldDifference readHeld(const wire::HolderReply &From);
 
 using LoadingModels = std::map<dispatch::ServiceModel, base::TimePoint>;
 
--- a/src/dispatch/targetboard.h
+++ b/src/dispatch/targetboard.h
@@ -71,6 +71,7 @@
 struct HeldState {
   catalog::Lifetime Lifetime;
   catalog::HeldModels Models;
+  bool operator==(const HeldState &) const = default;
 };
 
 using ServiceModel = std::pair<catalog::ServiceId, base::ModelId>;
