The best equipped instances claim the lease first

Load: 55 of 61 machines have 0.12 of a core and 10 Mbit/s, six have 0.5 and 200. Change: a claim comes later by what the machine lacks, and a holder that hears of a far better one gives the lease back after 5 s. Ruled out: a role of its own (no machine is set aside). Tests: CapacityTest.TheBestEquippedClaimFirst, HolderLeaseTest. AHandicappedInstanceClaimsLater, AHolderThatYieldsMayHoldAgainLater.

--- a/src/admission/internal/ratewait.cpp
+++ b/src/admission/internal/ratewait.cpp
@@ -79,9 +79,9 @@
     std::int64_t Missing = Ahead + Wait.Cost.Value - Held;
     // Until the agent says that no more is there, a whole burst may be.
     bool Refused = this->Book.askAgainAt(Quantity, Missing).has_value();
-    auto Soonest = Refused ? this->refillTime(Quantity, Each, Missing, Now)
-                           : this->refillTime(Quantity, Each,
-                                              Missing - Each.Burst, Now);
+    auto Soonest =
+        Refused ? this->refillTime(Quantity, Each, Missing, Now)
+                : this->refillTime(Quantity, Each, Missing - Each.Burst, Now);
     bool InTime = Wait.Cost.Value <= Each.Burst && Now < Wait.StartBy &&
                   Now + Soonest <= Wait.StartBy;
     if (InTime) {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -43,6 +43,9 @@
   /// The least time between two messages of the holder's on what engines hold:
   /// about as long as an adapter takes to be fetched.
   std::chrono::milliseconds PublishEvery{10};
+  /// A holder gives the lease back for a better equipped instance no earlier,
+  /// so that the lease changes hands for this seldom.
+  std::chrono::milliseconds YieldAfter{5000};
   /// How long the holder's word on what engines hold is good for.
   std::chrono::milliseconds HeldFor{2000};
   /// An instance that was not heard for this long no longer counts where
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -82,15 +82,18 @@
   }
 
   void leave() override {
-    auto Release = this->Lease.release(this->Clock.now());
+    this->giveBack(this->Lease.release(this->Clock.now()));
+  }
+
+private:
+  void giveBack(const std::optional<residency::LeaseAppend> &Release) {
     if (Release) {
       this->Holding.leave();
-      this->Store.append(*Release, [](AppendEnd) {});
+      this->append(*Release);
     }
     this->Holding.checkLease();
   }
 
-private:
   void checkReady() {
     if (this->HasTargets && this->Catalog && this->Ready)
       std::exchange(this->Ready, nullptr)();
@@ -256,14 +259,20 @@
   void renewLease(base::TimePoint Now) {
     if (!this->HolderSilent && !this->Lease.claimedHere())
       return;
-    auto Append = this->Lease.tick(this->Holding.instances(), Now);
-    if (!Append)
-      return;
-    this->Store.append(
-        *Append, [this, Live = this->Alive, Sent = *Append](AppendEnd How) {
-          if (*Live)
-            this->onAppendEnd(Sent, How);
-        });
+    if (this->Holding.shouldYield()) {
+      base::logEvent(base::LogLevel::Info, "lease-yielded",
+                     {{"handicap_ms", this->Settings.Lease.Handicap.count()}});
+      return this->giveBack(this->Lease.yield(Now));
+    }
+    if (auto Append = this->Lease.tick(this->Holding.instances(), Now))
+      this->append(*Append);
+  }
+
+  void append(const residency::LeaseAppend &What) {
+    this->Store.append(What, [this, Live = this->Alive, What](AppendEnd How) {
+      if (*Live)
+        this->onAppendEnd(What, How);
+    });
   }
 
   void onAppendEnd(const residency::LeaseAppend &Sent, AppendEnd How) {
@@ -316,6 +325,8 @@
     Out.set_instance(this->Settings.Self.Value);
     Out.set_incarnation(this->Settings.Incarnation.Value);
     Out.set_number(++this->ReportNumber);
+    Out.set_claim_handicap_ms(
+        static_cast<std::uint32_t>(this->Settings.Lease.Handicap.count()));
     Out.set_held_revision(this->Held.revision());
     Out.set_held_token(this->HeldToken);
     return Out;
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -69,13 +69,25 @@
     return this->InheritedInstances;
   auto Counted = static_cast<unsigned>(std::count_if(
       this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
-        return Now < Each.second + this->Settings.InstanceFor;
+        return Now < Each.second.HeardAt + this->Settings.InstanceFor;
       }));
   // What a former holder knew of may only be cut off from this one.
   bool MayBeCutOff = Now < this->HeldSince + this->Settings.InstanceFor;
   return MayBeCutOff ? std::max(Counted, this->InheritedInstances) : Counted;
 }
 
+bool HolderSide::shouldYield() const {
+  base::TimePoint Now = this->Clock.now();
+  if (!this->Token || Now < this->HeldSince + this->Settings.YieldAfter)
+    return false;
+  return std::any_of(
+      this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
+        return Now < Each.second.HeardAt + this->Settings.SilentAfter &&
+               residency::shouldYield(this->Settings.Lease.Handicap,
+                                      Each.second.Handicap);
+      });
+}
+
 void HolderSide::onReport(const messaging::ClientName &From,
                           std::string_view Bytes) {
   wire::InstanceReport Report;
@@ -89,7 +101,8 @@
     return;
   base::TimePoint Now = this->Clock.now();
   base::InstanceId Instance{Report.instance()};
-  this->Instances[Instance] = Now;
+  this->Instances[Instance] = {
+      Now, std::chrono::milliseconds(Report.claim_handicap_ms())};
   this->Clients[From] = Now;
   this->Holder.onUse(Instance, readItems(Report), Now);
   wire::HolderReply Reply = this->newReply(Now);
@@ -138,7 +151,7 @@
   unsigned Whole = this->instances();
   auto Heard = static_cast<unsigned>(std::count_if(
       this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
-        return Now < Each.second + this->Settings.SilentAfter;
+        return Now < Each.second.HeardAt + this->Settings.SilentAfter;
       }));
   this->Usage.setInstances(Whole, Whole - std::min(Whole, Heard));
 }
--- a/src/control/internal/holderside.h
+++ b/src/control/internal/holderside.h
@@ -7,6 +7,7 @@
 
 #include "control/control.h"
 #include "linkmessages.h"
+#include "residency/capacity.h"
 
 #include <asio/steady_timer.hpp>
 #include <map>
@@ -31,6 +32,8 @@
   void tick();
   /// Tells the instances that the lease is given back.
   void leave();
+  /// Whether an instance that is far better equipped would take the lease.
+  bool shouldYield() const;
   /// The instances that limits are split over; 0 while it is not known.
   unsigned instances() const;
 
@@ -62,8 +65,11 @@
   std::optional<residency::FencingToken> Token;
   base::TimePoint HeldSince;
   unsigned InheritedInstances = 0;
-  /// When each was last heard of.
-  std::map<base::InstanceId, base::TimePoint> Instances;
+  struct Peer {
+    base::TimePoint HeardAt;
+    std::chrono::milliseconds Handicap{0};
+  };
+  std::map<base::InstanceId, Peer> Instances;
   std::map<messaging::ClientName, base::TimePoint> Clients;
   HeldBook Held;
   asio::steady_timer PublishTimer;
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -86,6 +86,7 @@
     Out.LinkEndpoint = "tcp://" + this->Options.Link.text();
     Out.Lease.Duration = this->Options.Lease;
     Out.Lease.RenewEvery = this->Options.Lease / RenewalsPerLease;
+    Out.Lease.Handicap = residency::claimHandicap(this->Options.Capacity);
     Out.Usage.Window = this->Options.UsageWindow;
     return Out;
   }
--- a/src/instance/internal/settings.cpp
+++ b/src/instance/internal/settings.cpp
@@ -13,6 +13,10 @@
 constexpr milliseconds ShortestWindow{1000};
 constexpr milliseconds LongestWindow{600000};
 constexpr double MostRepeats = 1e6;
+constexpr double LeastProcessor = 0.01;
+constexpr double MostProcessor = 1024;
+constexpr double LeastLink = 0.1;
+constexpr double MostLink = 1e6;
 
 base::Endpoint requiredEndpoint(base::SettingsReader &Reader,
                                 const std::string &Name) {
@@ -41,6 +45,12 @@
       Reader.millis("window_ms", Default, ShortestWindow, LongestWindow);
 }
 
+void readCapacity(base::SettingsReader &Reader, residency::Capacity &To) {
+  To.Processor =
+      Reader.real("processor", To.Processor, LeastProcessor, MostProcessor);
+  To.Link = Reader.real("link_mbps", To.Link, LeastLink, MostLink);
+}
+
 } // namespace
 
 Settings parseSettings(base::SettingsReader &Reader) {
@@ -57,6 +67,9 @@
                                   ShortestWindow, LongestWindow);
   Out.Level = base::parseLogLevel(
       Reader.oneOf("log_level", "info", {"debug", "info", "warn", "error"}));
+  Reader.object("capacity", [&Out](base::SettingsReader &Nested) {
+    readCapacity(Nested, Out.Capacity);
+  });
   Reader.object("stop", [&Out](base::SettingsReader &Nested) {
     readStop(Nested, Out.Stop);
   });
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -10,6 +10,7 @@
 #include "base/log.h"
 #include "base/settings.h"
 #include "dispatch/repeatbudget.h"
+#include "residency/capacity.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -38,6 +39,7 @@
   base::Endpoint Link;
   /// The platform's store.
   base::Endpoint Store;
+  residency::Capacity Capacity;
   StopSettings Stop;
   dispatch::RepeatBudgetSettings Repeats;
   /// How long the holder's lease lasts: short, as nobody gives orders between
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -42,6 +42,8 @@
   std::chrono::milliseconds Drift{300};
   /// Claims are spread over this time, so that few collide.
   std::chrono::milliseconds ClaimSpread{500};
+  /// Claims of this instance come later by this (see capacity.h).
+  std::chrono::milliseconds Handicap{0};
   /// How long the answer to an append is waited for.
   std::chrono::milliseconds AppendTimeout{1000};
 };
@@ -76,6 +78,8 @@
   void onNotAppended(const LeaseAppend &Sent);
   /// An engine refused the token, as a later holder has given orders.
   void onFenced();
+  /// Gives the lease back to whoever claims it first.
+  std::optional<LeaseAppend> yield(base::TimePoint Now);
   /// Gives the lease back, as part of a graceful shutdown; no claim follows.
   std::optional<LeaseAppend> release(base::TimePoint Now);
 
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -24,7 +24,8 @@
 void HolderLease::drawDelay() {
   std::uniform_int_distribution<std::int64_t> Spread(
       0, this->Settings.ClaimSpread.count());
-  this->Delay = std::chrono::milliseconds(Spread(this->Random));
+  this->Delay =
+      this->Settings.Handicap + std::chrono::milliseconds(Spread(this->Random));
 }
 
 bool HolderLease::claimedHere() const {
@@ -140,6 +141,10 @@
 
 std::optional<LeaseAppend> HolderLease::release(base::TimePoint Now) {
   this->Leaving = true;
+  return this->yield(Now);
+}
+
+std::optional<LeaseAppend> HolderLease::yield(base::TimePoint Now) {
   bool Held = this->claimedHere() && this->End;
   this->ValidUntil = {};
   if (!Held)
--- a/src/residency/tests/holderleasetest.cpp
+++ b/src/residency/tests/holderleasetest.cpp
@@ -1,5 +1,7 @@
 #include "residency/holderlease.h"
 
+#include "residency/capacity.h"
+
 #include <gtest/gtest.h>
 #include <map>
 #include <rapidcheck/gtest.h>
@@ -150,3 +152,40 @@
   Lease.onFenced();
   EXPECT_FALSE(Lease.held(Now));
 }
+
+TEST(CapacityTest, TheBestEquippedClaimFirst) {
+  EXPECT_EQ(claimHandicap({0.5, 200}), milliseconds(0));
+  EXPECT_EQ(claimHandicap({0.12, 10}), milliseconds(800));
+  EXPECT_GT(claimHandicap({0.12, 1000}), milliseconds(400));
+  EXPECT_TRUE(shouldYield(claimHandicap({0.12, 10}), milliseconds(0)));
+  EXPECT_FALSE(shouldYield(milliseconds(0), claimHandicap({0.12, 10})));
+  EXPECT_FALSE(
+      shouldYield(claimHandicap({0.12, 10}), claimHandicap({0.12, 12})));
+}
+
+TEST(HolderLeaseTest, AHandicappedInstanceClaimsLater) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLeaseSettings Slow;
+  Slow.ClaimSpread = milliseconds(0);
+  Slow.Handicap = milliseconds(800);
+  HolderLease Lease({"a"}, {1}, "", Slow, 1);
+  Lease.onRead(std::nullopt, {0}, Now);
+  EXPECT_FALSE(Lease.tick(1, Now + milliseconds(700)));
+  EXPECT_TRUE(Lease.tick(1, Now + milliseconds(900)));
+}
+
+TEST(HolderLeaseTest, AHolderThatYieldsMayHoldAgainLater) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLease Lease({"a"}, {1}, "", HolderLeaseSettings{}, 1);
+  Lease.onRead(std::nullopt, {0}, Now);
+  Now += std::chrono::seconds(1);
+  Lease.onAppended(*Lease.tick(1, Now), Now);
+  ASSERT_TRUE(Lease.held(Now));
+  auto Release = Lease.yield(Now);
+  ASSERT_TRUE(Release && Release->Record.Released);
+  EXPECT_FALSE(Lease.held(Now));
+  Lease.onAppended(*Release, Now);
+  EXPECT_FALSE(Lease.claimedHere());
+  Now += std::chrono::seconds(1);
+  EXPECT_TRUE(Lease.tick(1, Now));
+}
--- a/tests/process/faulttest.cpp
+++ b/tests/process/faulttest.cpp
@@ -408,6 +408,31 @@
   EXPECT_GT(Found.Served, 100);
 }
 
+TEST_F(FaultTest, ABurstIsThereWhereverItsCallerLands) {
+  DeploymentOptions Options;
+  Options.TokensPerSecond = 500;
+  Options.BurstTokens = 20000;
+  this->startWith(Options);
+  for (const CallRecord &Each : this->chatInTurn(50))
+    ASSERT_EQ(Each.Result.Status, 200);
+  // A long stream whose caller leaves keeps its tokens.
+  call("POST", this->System->instance(0).callers(), "/v1/chat/completions",
+       nlohmann::json{{"model", "m1"},
+                      {"messages", {{{"role", "user"}, {"content", "long"}}}},
+                      {"stream", true},
+                      {"max_tokens", 2000}}
+           .dump(),
+       {"Authorization: Bearer " + this->System->secret(),
+        "Content-Type: application/json"},
+       milliseconds(500));
+  for (int Call = 0; Call < 6; ++Call) {
+    CallResult Answer =
+        this->System->chat(Call % 3, "short", {{"max_tokens", 4}});
+    EXPECT_EQ(Answer.Status, 200) << "instance " << Call % 3;
+    EXPECT_LT(Answer.Took, seconds(1)) << "instance " << Call % 3;
+  }
+}
+
 TEST_F(FaultTest, OfTwoRacingOperatorsOneWinsAndBothAreToldTheTruth) {
   this->startWith({});
   constexpr int Races = 100;
