Targets are followed by the holder's word

Load: 61 instances each read the list of targets once a second. Change: the holder reads the list and tells by differences what others would act on; heartbeats alone are no news. Its word counts from when the report was sent that it answers, less the age of its reading; past two seconds of age an instance reads the store itself. Ruled out: a slower poll (a leaving target must be known within 3 s). Tests: control/tests/linkmessagestest.cpp.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -43,6 +43,10 @@
   /// The least time between two messages of the holder's on what engines hold:
   /// about as long as an adapter takes to be fetched.
   std::chrono::milliseconds PublishEvery{10};
+  /// A holder's list of targets is gone by up to this age, and the platform's
+  /// own is read beyond it: with a second to read, a leaving target is known
+  /// within three.
+  std::chrono::milliseconds ListedFor{2000};
   /// A holder gives the lease back for a better equipped instance no earlier,
   /// so that the lease changes hands for this seldom.
   std::chrono::milliseconds YieldAfter{5000};
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+/// Reports whose answers are waited for; more than are sent within the time
+/// that an answer is of use.
+constexpr std::size_t MostReportsSent = 256;
+
 class WholeControl final : public Control {
 public:
   WholeControl(asio::io_context &Loop, ControlSettings NewSettings,
@@ -45,6 +49,7 @@
       this->publishTargets();
     };
     Events.OnTargets = [this](const auto &Updates, bool Whole) {
+      this->Holding.onTargetsRead();
       this->onTargets(Updates, Whole);
     };
     Events.OnLease = [this](const auto &Record, residency::LeaseEnd End) {
@@ -214,6 +219,38 @@
       this->Lease.forgetEnd();
     this->HolderSilent = Silent;
     this->Store.followLease(Silent || this->Lease.needsRead());
+    this->Store.followTargets(this->Lease.claimedHere() ||
+                              Now > this->ListedAt + this->Settings.ListedFor);
+  }
+
+  /// Takes the list of targets as the holder read it.
+  void onListed(const wire::HolderReply &Reply, base::TimePoint Now) {
+    ListedDifference News = readListed(Reply, Now);
+    if (!this->Listed.apply(News) || this->Lease.claimedHere())
+      return;
+    std::vector<TargetUpdate> Updates;
+    for (const auto &[Id, Each] : News.Changes) {
+      if (Each)
+        Updates.emplace_back(Each->Of.Entry);
+      else
+        Updates.emplace_back(TargetRemoved{Id});
+    }
+    this->onTargets(Updates, News.Base == 0);
+  }
+
+  /// From when the holder's list is that the reply goes by: counted from when
+  /// the report was sent that it answers, as it may have been long on its way.
+  void noteListedAge(const wire::HolderReply &Reply) {
+    if (!Reply.has_listed_age_ms() ||
+        Reply.listed_revision() != this->Listed.revision())
+      return;
+    auto Sent = this->ReportsSent.find(Reply.number());
+    if (Sent == this->ReportsSent.end())
+      return;
+    this->ListedAt = std::max(
+        this->ListedAt,
+        Sent->second - std::chrono::milliseconds(Reply.listed_age_ms()));
+    this->ReportsSent.erase(this->ReportsSent.begin(), std::next(Sent));
   }
 
   void onHealth(const StoreHealth &How) {
@@ -325,6 +362,10 @@
     Out.set_instance(this->Settings.Self.Value);
     Out.set_incarnation(this->Settings.Incarnation.Value);
     Out.set_number(++this->ReportNumber);
+    Out.set_listed_revision(this->Listed.revision());
+    this->ReportsSent[this->ReportNumber] = this->Clock.now();
+    if (this->ReportsSent.size() > MostReportsSent)
+      this->ReportsSent.erase(this->ReportsSent.begin());
     Out.set_claim_handicap_ms(
         static_cast<std::uint32_t>(this->Settings.Lease.Handicap.count()));
     Out.set_held_revision(this->Held.revision());
@@ -349,9 +390,14 @@
       return;
     this->Lease.onWord({Reply.lease_end()},
                        std::chrono::milliseconds(Reply.lease_left_ms()), Now);
-    if (this->HeldToken != Reply.token())
+    if (this->HeldToken != Reply.token()) {
       this->Held.forget();
+      this->Listed.forget();
+    }
     this->HeldToken = Reply.token();
+    if (Reply.listed_included())
+      this->onListed(Reply, Now);
+    this->noteListedAge(Reply);
     if (Reply.held_included())
       this->Held.apply(readHeld(Reply));
     if (Reply.held_revision() == this->Held.revision())
@@ -389,6 +435,10 @@
   std::uint64_t ReportNumber = 0;
   std::uint64_t HeldToken = 0;
   HeldReader Held;
+  ListedReader Listed;
+  base::TimePoint ListedAt;
+  /// When the newest reports were sent, by their numbers.
+  std::map<std::uint64_t, base::TimePoint> ReportsSent;
 };
 
 } // namespace
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -34,6 +34,9 @@
 
 void HolderSide::setTargets(const catalog::TargetListPtr &New) {
   this->Holder.setTargets(New, this->Clock.now());
+  this->Targets = New;
+  if (this->Token)
+    this->publishListed(*New);
 }
 
 void HolderSide::checkLease() {
@@ -55,6 +58,9 @@
   this->Instances.clear();
   this->Clients.clear();
   this->Held.clear();
+  this->Listed.clear();
+  if (this->Targets)
+    this->publishListed(*this->Targets);
   this->Usage.start(Now);
 }
 
@@ -111,6 +117,10 @@
       Report.held_token() == this->Token->Value ? Report.held_revision() : 0;
   if (Known != this->Held.revision())
     writeHeld(this->Held.since(Known), Reply);
+  std::uint64_t KnownList =
+      Report.held_token() == this->Token->Value ? Report.listed_revision() : 0;
+  if (KnownList != this->Listed.revision())
+    writeListed(this->Listed.since(KnownList), Now, Reply);
   this->answerCredits(Report, Reply);
   this->Server->send(From, Reply.SerializeAsString());
   bool Waited =
@@ -190,6 +200,10 @@
   Out.set_lease_left_ms(
       static_cast<std::uint32_t>(this->Lease.left(Now).count()));
   Out.set_held_revision(this->Held.revision());
+  Out.set_listed_revision(this->Listed.revision());
+  if (this->TargetsReadAt)
+    Out.set_listed_age_ms(
+        static_cast<std::uint32_t>(base::millisOf(Now - *this->TargetsReadAt)));
   writeLoading(this->Holder.engines().loading(Now), Now, Out);
   return Out;
 }
@@ -228,6 +242,24 @@
   this->PublishedAt = Now;
   wire::HolderReply News = this->newReply(Now);
   writeHeld(this->Held.since(Before), News);
+  this->broadcast(News);
+}
+
+void HolderSide::publishListed(const catalog::TargetList &All) {
+  ListedBook::Values Values;
+  for (const auto &[Id, Each] : All.Targets)
+    Values[Id] = {Each};
+  std::uint64_t Before = this->Listed.revision();
+  if (!this->Listed.update(Values))
+    return;
+  base::TimePoint Now = this->Clock.now();
+  wire::HolderReply News = this->newReply(Now);
+  writeListed(this->Listed.since(Before), Now, News);
+  this->broadcast(News);
+}
+
+void HolderSide::broadcast(const wire::HolderReply &News) {
+  base::TimePoint Now = this->Clock.now();
   std::string Bytes = News.SerializeAsString();
   for (auto Each = this->Clients.begin(); Each != this->Clients.end();) {
     if (Now > Each->second + this->Settings.HeldFor) {
--- a/src/control/internal/holderside.h
+++ b/src/control/internal/holderside.h
@@ -24,6 +24,8 @@
   base::Result<void> listen(messaging::Messaging &Messages);
   void setCatalog(const catalog::CatalogPtr &New);
   void setTargets(const catalog::TargetListPtr &New);
+  /// The platform's list was read just now, changed or not.
+  void onTargetsRead() { this->TargetsReadAt = this->Clock.now(); }
   /// Follows the lease; to be called whenever it may have changed.
   void checkLease();
   /// Takes the lease's record, of which a new holder inherits the number of
@@ -46,6 +48,9 @@
   /// Where each engine's state is known, by the newest reports and answers.
   HeldBook::Values heldNow() const;
   void publish();
+  /// Tells every instance what has changed of the list of targets.
+  void publishListed(const catalog::TargetList &All);
+  void broadcast(const wire::HolderReply &News);
   /// Arranges for publish() at \p At, unless it is due earlier.
   void publishAt(base::TimePoint At);
   void carryOut(const residency::HolderCommand &Command);
@@ -61,6 +66,7 @@
   residency::Holder Holder;
   dispatch::UsagePool Usage;
   catalog::CatalogPtr Catalog;
+  catalog::TargetListPtr Targets;
   std::unique_ptr<messaging::MessageServer> Server;
   std::optional<residency::FencingToken> Token;
   base::TimePoint HeldSince;
@@ -72,6 +78,8 @@
   std::map<base::InstanceId, Peer> Instances;
   std::map<messaging::ClientName, base::TimePoint> Clients;
   HeldBook Held;
+  ListedBook Listed;
+  std::optional<base::TimePoint> TargetsReadAt;
   asio::steady_timer PublishTimer;
   base::TimePoint PublishedAt;
   std::optional<base::TimePoint> PublishDue;
--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -1,5 +1,6 @@
 #include "linkmessages.h"
 
+#include "base/log.h"
 #include "base/visitor.h"
 
 #include <algorithm>
@@ -51,6 +52,31 @@
                Each);
 }
 
+namespace {
+
+using WireModels = google::protobuf::RepeatedPtrField<wire::HeldModel>;
+
+void writeModels(const catalog::HeldModels &Models, WireModels &To) {
+  for (const auto &[Model, Each] : Models) {
+    wire::HeldModel &One = *To.Add();
+    One.set_model(Model.Value);
+    for (const base::AdapterId &Adapter : Each.Adapters)
+      One.add_adapters(Adapter.Value);
+  }
+}
+
+catalog::HeldModels readModels(const WireModels &From) {
+  catalog::HeldModels Out;
+  for (const wire::HeldModel &Model : From) {
+    catalog::HeldModel &One = Out[{Model.model()}];
+    for (const std::string &Adapter : Model.adapters())
+      One.Adapters.insert({Adapter});
+  }
+  return Out;
+}
+
+} // namespace
+
 void writeHeld(const HeldDifference &News, wire::HolderReply &To) {
   To.set_held_included(true);
   To.set_held_base(News.Base);
@@ -62,13 +88,111 @@
     if (!State)
       continue;
     Out.set_lifetime(State->Lifetime.Value);
-    for (const auto &[Model, Each] : State->Models) {
-      wire::HeldModel &One = *Out.add_models();
-      One.set_model(Model.Value);
-      for (const base::AdapterId &Adapter : Each.Adapters)
-        One.add_adapters(Adapter.Value);
+    writeModels(State->Models, *Out.mutable_models());
+  }
+}
+
+namespace {
+
+/// Times that a target states in successive heartbeats differ by what it takes
+/// to read them.
+constexpr base::Duration SameTime = std::chrono::milliseconds(300);
+
+bool sameTime(base::TimePoint Left, base::TimePoint Right) {
+  return Left < Right + SameTime && Right < Left + SameTime;
+}
+
+bool isCold(const catalog::Target &Of) { return Of.ColdUntil > Of.ReadAt; }
+
+bool sameModels(const catalog::HeldModels &Left,
+                const catalog::HeldModels &Right) {
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    [](const auto &One, const auto &Other) {
+                      return One.first == Other.first;
+                    });
+}
+
+std::uint32_t millisUntil(base::TimePoint At, base::TimePoint Now) {
+  auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(At - Now);
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, Left.count()));
+}
+
+} // namespace
+
+bool ListedTarget::operator==(const ListedTarget &Other) const {
+  const catalog::TargetEntry &Left = this->Of.Entry;
+  const catalog::TargetEntry &Right = Other.Of.Entry;
+  bool SameEnd =
+      this->Of.EndsAt.has_value() == Other.Of.EndsAt.has_value() &&
+      (!this->Of.EndsAt || sameTime(*this->Of.EndsAt, *Other.Of.EndsAt));
+  bool SameCold =
+      isCold(this->Of) == isCold(Other.Of) &&
+      (!isCold(this->Of) || sameTime(this->Of.ColdUntil, Other.Of.ColdUntil));
+  return SameEnd && SameCold && Left.Lifetime == Right.Lifetime &&
+         Left.Service == Right.Service &&
+         Left.Address.text() == Right.Address.text() &&
+         Left.Zone == Right.Zone && Left.Slots == Right.Slots &&
+         Left.Leaving == Right.Leaving && sameModels(Left.Models, Right.Models);
+}
+
+void writeListed(const ListedDifference &News, base::TimePoint Now,
+                 wire::HolderReply &To) {
+  To.set_listed_included(true);
+  To.set_listed_base(News.Base);
+  To.set_listed_revision(News.Revision);
+  for (const auto &[Id, Listed] : News.Changes) {
+    wire::ListedTarget &Out = *To.add_listed();
+    Out.set_target(Id.Value);
+    Out.set_gone(!Listed.has_value());
+    if (!Listed)
+      continue;
+    const catalog::TargetEntry &Entry = Listed->Of.Entry;
+    Out.set_lifetime(Entry.Lifetime.Value);
+    Out.set_beat(Entry.Beat);
+    Out.set_service(Entry.Service.Value);
+    Out.set_address(Entry.Address.text());
+    Out.set_zone(Entry.Zone.Value);
+    Out.set_slots(Entry.Slots);
+    Out.set_leaving(Entry.Leaving);
+    if (Listed->Of.EndsAt)
+      Out.set_time_left_ms(millisUntil(*Listed->Of.EndsAt, Now));
+    Out.set_cold_for_ms(millisUntil(Listed->Of.ColdUntil, Now));
+    writeModels(Entry.Models, *Out.mutable_models());
+  }
+}
+
+ListedDifference readListed(const wire::HolderReply &From,
+                            base::TimePoint Now) {
+  ListedDifference Out{From.listed_base(), From.listed_revision(), {}};
+  for (const wire::ListedTarget &Each : From.listed()) {
+    if (Each.gone()) {
+      Out.Changes.emplace_back(base::TargetId{Each.target()}, std::nullopt);
+      continue;
     }
+    auto Address = base::parseEndpoint(Each.address());
+    if (!Address) {
+      base::logEvent(base::LogLevel::Warn, "listed-target-unreadable",
+                     {{"target", Each.target()}, {"address", Each.address()}});
+      continue;
+    }
+    ListedTarget New;
+    catalog::TargetEntry &Entry = New.Of.Entry;
+    Entry.Id = {Each.target()};
+    Entry.Lifetime.Value = Each.lifetime();
+    Entry.Beat = Each.beat();
+    Entry.Service = {Each.service()};
+    Entry.Address = *Address;
+    Entry.Zone = {Each.zone()};
+    Entry.Slots = Each.slots();
+    Entry.Leaving = Each.leaving();
+    if (Each.has_time_left_ms())
+      Entry.TimeLeft = std::chrono::milliseconds(Each.time_left_ms());
+    Entry.ColdFor = std::chrono::milliseconds(Each.cold_for_ms());
+    Entry.Models = readModels(Each.models());
+    New.Of.ReadAt = Now;
+    Out.Changes.emplace_back(Entry.Id, std::move(New));
   }
+  return Out;
 }
 
 HeldDifference readHeld(const wire::HolderReply &From) {
@@ -78,12 +202,7 @@
     Id.Value = Each.target();
     if (Each.gone())
       continue;
-    State.emplace().Lifetime.Value = Each.lifetime();
-    for (const wire::HeldModel &Model : Each.models()) {
-      catalog::HeldModel &One = State->Models[{Model.model()}];
-      for (const std::string &Adapter : Model.adapters())
-        One.Adapters.insert({Adapter});
-    }
+    State = dispatch::HeldState{{Each.lifetime()}, readModels(Each.models())};
   }
   return Out;
 }
--- a/src/control/internal/linkmessages.h
+++ b/src/control/internal/linkmessages.h
@@ -18,6 +18,17 @@
 using HeldReader = ChangeReader<base::TargetId, dispatch::HeldState>;
 using HeldDifference = Difference<base::TargetId, dispatch::HeldState>;
 
+/// A target as the holder tells of it. Two are the same as long as nobody would
+/// act otherwise: heartbeats alone are no news, nor is the drift of a stated
+/// time.
+struct ListedTarget {
+  catalog::Target Of;
+  bool operator==(const ListedTarget &Other) const;
+};
+using ListedBook = ChangeBook<base::TargetId, ListedTarget>;
+using ListedReader = ChangeReader<base::TargetId, ListedTarget>;
+using ListedDifference = Difference<base::TargetId, ListedTarget>;
+
 void writeUse(const forwarding::TrafficUse &Use, wire::InstanceReport &To);
 std::vector<residency::ItemUse> readItems(const wire::InstanceReport &From);
 void writeCredits(const std::vector<admission::CreditCommand> &Commands,
@@ -26,6 +37,11 @@
 void writeHeld(const HeldDifference &News, wire::HolderReply &To);
 HeldDifference readHeld(const wire::HolderReply &From);
 
+void writeListed(const ListedDifference &News, base::TimePoint Now,
+                 wire::HolderReply &To);
+/// Entries with an address that cannot be read are left out, with a log line.
+ListedDifference readListed(const wire::HolderReply &From, base::TimePoint Now);
+
 using LoadingModels = std::map<dispatch::ServiceModel, base::TimePoint>;
 
 void writeLoading(const LoadingModels &Loading, base::TimePoint Now,
--- /dev/null
+++ b/src/control/tests/linkmessagestest.cpp
@@ -0,0 +1,80 @@
+#include "../internal/linkmessages.h"
+
+#include <gtest/gtest.h>
+
+using namespace kingcuphub;
+using namespace kingcuphub::control;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr base::TimePoint Start{std::chrono::hours(1)};
+
+catalog::Target targetAt(base::TimePoint ReadAt, std::uint64_t Beat) {
+  catalog::Target Out;
+  Out.Entry.Id = {"t1"};
+  Out.Entry.Lifetime.Value = 7;
+  Out.Entry.Beat = Beat;
+  Out.Entry.Service = {"chat"};
+  Out.Entry.Address = {"127.0.0.1", 9001};
+  Out.Entry.Zone = {"a"};
+  Out.Entry.Slots = 32;
+  Out.Entry.Models[{"m1"}].Adapters = {{"x"}};
+  Out.ReadAt = ReadAt;
+  Out.ColdUntil = ReadAt;
+  return Out;
+}
+
+ListedBook::Values one(const catalog::Target &Of) {
+  return {{Of.Entry.Id, {Of}}};
+}
+
+} // namespace
+
+TEST(ListedTargetTest, HeartbeatsAndAdaptersAreNoNews) {
+  ListedBook Told;
+  EXPECT_TRUE(Told.update(one(targetAt(Start, 1))));
+  catalog::Target Later = targetAt(Start + milliseconds(1200), 2);
+  Later.Entry.Models[{"m1"}].Adapters = {{"y"}};
+  EXPECT_FALSE(Told.update(one(Later)));
+}
+
+TEST(ListedTargetTest, WhatOthersWouldActOnIsNews) {
+  ListedBook Told;
+  Told.update(one(targetAt(Start, 1)));
+  catalog::Target Leaving = targetAt(Start, 2);
+  Leaving.Entry.Leaving = true;
+  EXPECT_TRUE(Told.update(one(Leaving)));
+  Leaving.EndsAt = Start + milliseconds(2000);
+  EXPECT_TRUE(Told.update(one(Leaving)));
+  catalog::Target Cold = targetAt(Start, 3);
+  Cold.ColdUntil = Start + milliseconds(5000);
+  EXPECT_TRUE(Told.update(one(Cold)));
+  Cold.ReadAt = Start + milliseconds(1200);
+  Cold.ColdUntil = Start + milliseconds(5010);
+  EXPECT_FALSE(Told.update(one(Cold)));
+  EXPECT_TRUE(Told.update({}));
+}
+
+TEST(ListedTargetTest, AListIsReadAsItWasWritten) {
+  ListedBook Told;
+  catalog::Target Of = targetAt(Start, 5);
+  Of.Entry.Leaving = true;
+  Of.EndsAt = Start + milliseconds(2000);
+  Of.ColdUntil = Start + milliseconds(3000);
+  Told.update(one(Of));
+  wire::HolderReply Message;
+  writeListed(Told.since(0), Start + milliseconds(500), Message);
+  ListedDifference Read = readListed(Message, Start + milliseconds(600));
+  ListedReader Reads;
+  ASSERT_TRUE(Reads.apply(Read));
+  const catalog::TargetEntry &Entry = Reads.values().at({"t1"}).Of.Entry;
+  EXPECT_EQ(Entry.Lifetime.Value, 7U);
+  EXPECT_EQ(Entry.Beat, 5U);
+  EXPECT_EQ(Entry.Address.text(), "127.0.0.1:9001");
+  EXPECT_EQ(Entry.Slots, 32U);
+  EXPECT_TRUE(Entry.Leaving);
+  EXPECT_EQ(Entry.TimeLeft, milliseconds(1500));
+  EXPECT_EQ(Entry.ColdFor, milliseconds(2500));
+  EXPECT_EQ(Entry.Models, Of.Entry.Models);
+}
