An instance that is behind the others' configuration reads it anew

Load: five changes of the configuration while the store is away from three instances. Change: reports and replies name the version that each knows; who is behind for 300 ms reads anew.

--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -56,6 +56,8 @@
   virtual void start(StoreEvents Events) = 0;
   /// Whether the lease's record is followed; the holder itself knows it.
   virtual void followLease(bool Follow) = 0;
+  /// Reads catalog and zones anew.
+  virtual void readCatalogAgain() = 0;
   /// Whether the list of targets is followed; an instance that hears it from
   /// the holder need not.
   virtual void followTargets(bool Follow) = 0;
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/visitor.h"
+#include "cataloglag.h"
 #include "holderside.h"
 
 #include <algorithm>
@@ -37,6 +38,8 @@
   ~WholeControl() override { *this->Alive = false; }
 
   void start() override {
+    this->Holding.onCatalogWord(
+        [this](catalog::Version Theirs) { this->onCatalogWord(Theirs); });
     if (auto Listening = this->Holding.listen(this->Messages); !Listening)
       base::logEvent(base::LogLevel::Error, "link-not-listening",
                      {{"why", Listening.error().Message}});
@@ -140,6 +143,20 @@
     }
   }
 
+  catalog::Version catalogVersion() const {
+    return this->Catalog ? this->Catalog->Version : catalog::Version{};
+  }
+
+  /// Another instance, or the holder, knows this version.
+  void onCatalogWord(catalog::Version Theirs) {
+    catalog::Version Own = this->catalogVersion();
+    if (!this->Lag.onWord(Theirs, Own, this->Clock.now()))
+      return;
+    base::logEvent(base::LogLevel::Warn, "catalog-behind",
+                   {{"version", Own.Value}, {"others_know", Theirs.Value}});
+    this->Store.readCatalogAgain();
+  }
+
   void onTargets(const std::vector<TargetUpdate> &Updates, bool Whole) {
     base::TimePoint Now = this->Clock.now();
     if (Whole) {
@@ -363,6 +380,7 @@
     Out.set_incarnation(this->Settings.Incarnation.Value);
     Out.set_number(++this->ReportNumber);
     Out.set_listed_revision(this->Listed.revision());
+    Out.set_catalog_version(this->catalogVersion().Value);
     this->ReportsSent[this->ReportNumber] = this->Clock.now();
     if (this->ReportsSent.size() > MostReportsSent)
       this->ReportsSent.erase(this->ReportsSent.begin());
@@ -388,6 +406,7 @@
     this->checkHolder(Now);
     if (Reply.leaving())
       return;
+    this->onCatalogWord({Reply.catalog_version()});
     this->Lease.onWord({Reply.lease_end()},
                        std::chrono::milliseconds(Reply.lease_left_ms()), Now);
     if (this->HeldToken != Reply.token()) {
@@ -418,6 +437,7 @@
   catalog::CatalogPtr Catalog;
   catalog::TargetTable Table;
   catalog::TargetListPtr Published;
+  CatalogLag Lag;
   bool HasTargets = false;
   residency::HolderLease Lease;
   HolderSide Holding;
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -110,6 +110,8 @@
   this->Instances[Instance] = {
       Now, std::chrono::milliseconds(Report.claim_handicap_ms())};
   this->Clients[From] = Now;
+  if (this->TakeCatalogWord)
+    this->TakeCatalogWord({Report.catalog_version()});
   this->Holder.onUse(Instance, readItems(Report), Now);
   wire::HolderReply Reply = this->newReply(Now);
   Reply.set_number(Report.number());
@@ -201,6 +203,8 @@
       static_cast<std::uint32_t>(this->Lease.left(Now).count()));
   Out.set_held_revision(this->Held.revision());
   Out.set_listed_revision(this->Listed.revision());
+  if (this->Catalog)
+    Out.set_catalog_version(this->Catalog->Version.Value);
   if (this->TargetsReadAt)
     Out.set_listed_age_ms(
         static_cast<std::uint32_t>(base::millisOf(Now - *this->TargetsReadAt)));
--- a/src/control/internal/holderside.h
+++ b/src/control/internal/holderside.h
@@ -24,6 +24,10 @@
   base::Result<void> listen(messaging::Messaging &Messages);
   void setCatalog(const catalog::CatalogPtr &New);
   void setTargets(const catalog::TargetListPtr &New);
+  /// \p NewTake hears which version of the configuration a report names.
+  void onCatalogWord(std::function<void(catalog::Version)> NewTake) {
+    this->TakeCatalogWord = std::move(NewTake);
+  }
   /// The platform's list was read just now, changed or not.
   void onTargetsRead() { this->TargetsReadAt = this->Clock.now(); }
   /// Follows the lease; to be called whenever it may have changed.
@@ -67,6 +71,7 @@
   dispatch::UsagePool Usage;
   catalog::CatalogPtr Catalog;
   catalog::TargetListPtr Targets;
+  std::function<void(catalog::Version)> TakeCatalogWord;
   std::unique_ptr<messaging::MessageServer> Server;
   std::optional<residency::FencingToken> Token;
   base::TimePoint HeldSince;
