A holder whose lease has lapsed says so

Load: the store is away from the holder alone, for seconds, while demand moves. Cause: a renewal that was appended without an answer made the record newer than the holder's word, so that others waited a whole lease from when they read it. Ruled out: a shorter lease (a slow answer of the store would end it). Tests: HolderLeaseTest.ALeaseThatItsHolderGaveUpIsNotWaitedFor, WhoGaveUpHoldsAgainOnlyByALaterToken; AtMostOneHoldsTheLease now has holders that give up.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -47,6 +47,9 @@
   /// own is read beyond it: with a second to read, a leaving target is known
   /// within three.
   std::chrono::milliseconds ListedFor{2000};
+  /// A lease that lapsed is given up unless a late renewal brings it back
+  /// within this time.
+  std::chrono::milliseconds GiveUpAfter{200};
   /// A holder gives the lease back for a better equipped instance no earlier,
   /// so that the lease changes hands for this seldom.
   std::chrono::milliseconds YieldAfter{5000};
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -95,11 +95,11 @@
 
 private:
   void giveBack(const std::optional<residency::LeaseAppend> &Release) {
-    if (Release) {
-      this->Holding.leave();
+    if (Release)
       this->append(*Release);
-    }
     this->Holding.checkLease();
+    if (Release)
+      this->Holding.giveUp();
   }
 
   void checkReady() {
@@ -403,6 +403,8 @@
     if (Reply.token() < this->HeldToken)
       return;
     this->HolderAt = Reply.leaving() ? base::TimePoint{} : Now;
+    if (Reply.leaving())
+      this->Lease.onGivenUp({Reply.token()}, Now);
     this->checkHolder(Now);
     if (Reply.leaving())
       return;
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -49,6 +49,9 @@
       {{"token", Held ? Held->Value : this->Token->Value},
        {"engines", this->Holder.engines().views(Now).size()},
        {"catalog", this->Catalog ? this->Catalog->Version.Value : 0}});
+  this->Lost.reset();
+  if (this->Token && !Held)
+    this->Lost = LostLease{*this->Token, Now};
   this->Token = Held;
   this->Holder.setLease(Held, Now);
   if (!Held)
@@ -170,6 +173,11 @@
 
 void HolderSide::tick() {
   this->checkLease();
+  bool LostForGood =
+      this->Lost &&
+      this->Clock.now() >= this->Lost->At + this->Settings.GiveUpAfter;
+  if (LostForGood)
+    this->giveUp();
   if (!this->Token)
     return;
   this->countSilent(this->Clock.now());
@@ -212,16 +220,15 @@
   return Out;
 }
 
-void HolderSide::leave() {
-  if (!this->Token)
+void HolderSide::giveUp() {
+  if (!this->Lost)
     return;
+  this->Lease.onGivenUp(this->Lost->Token, this->Clock.now());
   wire::HolderReply News;
-  News.set_token(this->Token->Value);
-  News.set_held_revision(this->Held.revision());
+  News.set_token(this->Lost->Token.Value);
+  this->Lost.reset();
   News.set_leaving(true);
-  std::string Bytes = News.SerializeAsString();
-  for (const auto &[Client, At] : this->Clients)
-    this->Server->send(Client, Bytes);
+  this->broadcast(News);
 }
 
 HeldBook::Values HolderSide::heldNow() const {
--- a/src/control/internal/holderside.h
+++ b/src/control/internal/holderside.h
@@ -36,14 +36,24 @@
   /// instances.
   void onRecord(const residency::LeaseRecord &Record);
   void tick();
-  /// Tells the instances that the lease is given back.
-  void leave();
   /// Whether an instance that is far better equipped would take the lease.
   bool shouldYield() const;
+  /// Tells every instance that a lease which was lost or given back is not
+  /// taken up again.
+  void giveUp();
   /// The instances that limits are split over; 0 while it is not known.
   unsigned instances() const;
 
 private:
+  struct LostLease {
+    residency::FencingToken Token;
+    base::TimePoint At;
+  };
+  struct Peer {
+    base::TimePoint HeardAt;
+    std::chrono::milliseconds Handicap{0};
+  };
+
   void onReport(const messaging::ClientName &From, std::string_view Bytes);
   void answerCredits(const wire::InstanceReport &Report, wire::HolderReply &To);
   void countSilent(base::TimePoint Now);
@@ -76,10 +86,8 @@
   std::optional<residency::FencingToken> Token;
   base::TimePoint HeldSince;
   unsigned InheritedInstances = 0;
-  struct Peer {
-    base::TimePoint HeardAt;
-    std::chrono::milliseconds Handicap{0};
-  };
+  /// A lease that lapsed and may still come back.
+  std::optional<LostLease> Lost;
   std::map<base::InstanceId, Peer> Instances;
   std::map<messaging::ClientName, base::TimePoint> Clients;
   HeldBook Held;
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -67,6 +67,10 @@
   /// WordEnd it is valid for \p Left at most, if nothing follows that record.
   void onWord(LeaseEnd WordEnd, std::chrono::milliseconds Left,
               base::TimePoint Now);
+  /// Whoever had \p Token has no lease by it any more and never will: this
+  /// instance, whose lease has lapsed, or one that says so of itself. Load
+  /// pattern: the store is away from the holder alone, while demand moves.
+  void onGivenUp(FencingToken Token, base::TimePoint Now);
   /// How much longer the lease is held, as the holder may tell others.
   std::chrono::milliseconds left(base::TimePoint Now) const;
   LeaseEnd end() const { return this->End.value_or(LeaseEnd{}); }
@@ -86,7 +90,8 @@
   /// The token if the lease is held at \p Now; to be asked right before each
   /// order is sent.
   std::optional<FencingToken> held(base::TimePoint Now) const;
-  /// The newest record that is known is this incarnation's, lapsed or not.
+  /// The newest record that is known is this incarnation's, lapsed or not, and
+  /// was not given up.
   bool claimedHere() const;
   /// Records were missed: nothing is claimed until the store has been read.
   void forgetEnd();
@@ -98,11 +103,16 @@
     LeaseEnd End;
     base::TimePoint Until;
   };
+  struct Loss {
+    FencingToken Token;
+    base::TimePoint At;
+  };
   struct Sent {
     std::uint64_t Number = 0;
     base::TimePoint At;
   };
 
+  bool isGivenUp() const;
   base::TimePoint mayClaimAt() const;
   LeaseAppend append(bool Release, unsigned Instances, base::TimePoint Now);
   void drawDelay();
@@ -116,6 +126,7 @@
   std::optional<LeaseEnd> End;
   base::TimePoint SeenAt;
   std::optional<Word> HolderWord;
+  std::optional<Loss> GivenUp;
   std::chrono::milliseconds Delay{0};
   base::TimePoint ValidUntil;
   base::TimePoint LastSentAt;
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -28,8 +28,13 @@
       this->Settings.Handicap + std::chrono::milliseconds(Spread(this->Random));
 }
 
+bool HolderLease::isGivenUp() const {
+  return this->GivenUp && this->Latest &&
+         this->Latest->Token <= this->GivenUp->Token;
+}
+
 bool HolderLease::claimedHere() const {
-  return this->Latest && !this->Latest->Released &&
+  return this->Latest && !this->Latest->Released && !this->isGivenUp() &&
          this->Latest->Holder == this->Self &&
          this->Latest->Incarnation == this->Incarnation;
 }
@@ -85,6 +90,14 @@
   this->HolderWord = Word{WordEnd, Now + Left};
 }
 
+void HolderLease::onGivenUp(FencingToken Token, base::TimePoint Now) {
+  if (this->GivenUp && Token <= this->GivenUp->Token)
+    return;
+  this->GivenUp = Loss{Token, Now};
+  if (this->isGivenUp())
+    this->ValidUntil = {};
+}
+
 std::chrono::milliseconds HolderLease::left(base::TimePoint Now) const {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
       std::max(this->ValidUntil - Now, base::Duration::zero()));
@@ -93,6 +106,10 @@
 base::TimePoint HolderLease::mayClaimAt() const {
   if (!this->Latest || this->Latest->Released)
     return this->SeenAt + this->Delay;
+  // Orders that were sent in its last moment may still be on their way.
+  if (this->isGivenUp())
+    return std::max(this->SeenAt, this->GivenUp->At + this->Settings.Drift) +
+           this->Delay;
   // An earlier life of this very instance has ended.
   if (this->Latest->Holder == this->Self)
     return this->SeenAt;
--- a/src/residency/tests/holderleasetest.cpp
+++ b/src/residency/tests/holderleasetest.cpp
@@ -30,6 +30,7 @@
     for (std::size_t Index = 0; Index < Instances; ++Index)
       if (!this->Frozen[Index])
         this->act(Index);
+    this->tellLosses();
     std::size_t Holders = 0;
     for (std::size_t Index = 0; Index < Instances; ++Index)
       if (auto Token = this->Leases[Index].held(this->Now)) {
@@ -69,12 +70,29 @@
       Lease.onNotAppended(*Append);
   }
 
+  /// A holder whose lease has lapsed gives it up, and some of the others hear.
+  void tellLosses() {
+    for (std::size_t Index = 0; Index < Instances; ++Index) {
+      if (this->Frozen[Index])
+        continue;
+      auto Token = this->Leases[Index].held(this->Now);
+      auto Before = std::exchange(this->Tokens[Index], Token);
+      if (!Before || Token == Before)
+        continue;
+      for (std::size_t Other = 0; Other < Instances; ++Other)
+        if (Other == Index || (!this->Frozen[Other] && this->draw(3) != 0))
+          this->Leases[Other].onGivenUp(*Before, this->Now);
+    }
+  }
+
   std::uint64_t draw(std::uint64_t Below) { return this->Random() % Below; }
 
   std::mt19937_64 Random;
   base::TimePoint Now{std::chrono::hours(1)};
   std::vector<HolderLease> Leases;
   std::vector<bool> Frozen;
+  std::vector<std::optional<FencingToken>> Tokens =
+      std::vector<std::optional<FencingToken>>(Instances);
   std::optional<LeaseRecord> Record;
   std::uint64_t End = 0;
   std::uint64_t Highest = 0;
@@ -189,3 +207,34 @@
   Now += std::chrono::seconds(1);
   EXPECT_TRUE(Lease.tick(1, Now));
 }
+
+/// The store is away from the holder alone: a renewal that it does not know of
+/// was appended, so that its word on the lease does not fit the record.
+TEST(HolderLeaseTest, ALeaseThatItsHolderGaveUpIsNotWaitedFor) {
+  HolderLease Lease({"b"}, {1}, "", {}, 1);
+  base::TimePoint Now{std::chrono::hours(1)};
+  LeaseRecord Record;
+  Record.Holder = {"a"};
+  Record.Token.Value = 4;
+  Lease.onWord({5}, milliseconds(1000), Now);
+  Now += milliseconds(1500);
+  Lease.onGivenUp({4}, Now);
+  Lease.onRead(Record, {6}, Now + milliseconds(20));
+  EXPECT_FALSE(Lease.tick(1, Now + milliseconds(200)));
+  EXPECT_TRUE(Lease.tick(1, Now + milliseconds(900)));
+}
+
+TEST(HolderLeaseTest, WhoGaveUpHoldsAgainOnlyByALaterToken) {
+  HolderLease Lease({"a"}, {1}, "", {}, 1);
+  base::TimePoint Now{std::chrono::hours(1)};
+  Lease.onRead(std::nullopt, {0}, Now);
+  Now += std::chrono::seconds(1);
+  auto Sent = Lease.tick(1, Now);
+  Lease.onGivenUp(Sent->Record.Token, Now);
+  Lease.onAppended(*Sent, Now);
+  EXPECT_FALSE(Lease.held(Now));
+  Now += std::chrono::seconds(1);
+  auto Claim = Lease.tick(1, Now);
+  ASSERT_TRUE(Claim);
+  EXPECT_GT(Claim->Record.Token, Sent->Record.Token);
+}
