Both kinds of connections read by one StreamReader

The client's and the server's connection each had the same read with the same flag and buffer, beside the StreamWriter that they share.

--- a/src/http/internal/forwardconnection.cpp
+++ b/src/http/internal/forwardconnection.cpp
@@ -99,7 +99,7 @@
                 if (this->Callbacks.OnData)
                   this->Callbacks.OnData(Piece);
               }}),
-      Writer(this->Socket) {}
+      Reader(this->Socket), Writer(this->Socket) {}
 
 bool ForwardConnection::usable(SteadyClock::time_point Now) const {
   return this->At == Phase::Idle && Now < this->UsableUntil;
@@ -136,6 +136,10 @@
                });
     return;
   }
+  this->Reader.start(this->weak_from_this(),
+                     [this](asio::error_code Failed, std::string_view Bytes) {
+                       this->onRead(Failed, Bytes);
+                     });
   this->Writer.start(this->weak_from_this(),
                      {[this] { this->RequestSent = true; },
                       // The pending read tells why.
@@ -187,18 +191,13 @@
 }
 
 void ForwardConnection::read() {
-  if (this->ReadPending || this->Paused || this->At == Phase::Closed)
+  if (this->Paused || this->At == Phase::Closed)
     return;
-  this->ReadPending = true;
-  this->Socket.async_read_some(asio::buffer(this->Buffer),
-                               [this, Alive = this->shared_from_this()](
-                                   asio::error_code Failed, std::size_t Size) {
-                                 this->ReadPending = false;
-                                 this->onRead(Failed, Size);
-                               });
+  this->Reader.read();
 }
 
-void ForwardConnection::onRead(asio::error_code Failed, std::size_t Size) {
+void ForwardConnection::onRead(asio::error_code Failed,
+                               std::string_view Bytes) {
   if (this->At == Phase::Closed)
     return;
   if (this->At == Phase::Idle) {
@@ -206,7 +205,7 @@
     return;
   }
   if (!Failed) {
-    this->onBytes({this->Buffer.data(), Size});
+    this->onBytes(Bytes);
     this->read();
     return;
   }
--- a/src/http/internal/forwardconnection.h
+++ b/src/http/internal/forwardconnection.h
@@ -7,9 +7,9 @@
 /// nobody asked for, is noticed before the connection is used again.
 
 #include "http/forwardclient.h"
+#include "streamreader.h"
 #include "streamwriter.h"
 
-#include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <memory>
@@ -46,7 +46,7 @@
   void setOptions();
   void sendRequest();
   void read();
-  void onRead(asio::error_code Failed, std::size_t Size);
+  void onRead(asio::error_code Failed, std::string_view Bytes);
   void onBytes(std::string_view Bytes);
   void onHead(MessageHead Head);
   void onComplete(bool Surplus);
@@ -59,8 +59,8 @@
   ForwardSettings Settings;
   PoolHandlers Pool;
   MessageParser Parser;
+  StreamReader Reader;
   StreamWriter Writer;
-  std::array<char, 16384> Buffer{};
   std::string Outgoing;
   ForwardCallbacks Callbacks;
   /// The calls that were started here, so that an old handle does nothing.
@@ -73,7 +73,6 @@
   bool Sending = false;
   bool Reused = false;
   bool Paused = false;
-  bool ReadPending = false;
   std::chrono::milliseconds IdleFor{0};
   std::chrono::steady_clock::time_point UsableUntil;
 };
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -162,13 +162,17 @@
       Parser(MessageKind::Request, this->Shared->Limits.MaxHeaderBytes,
              {[this](MessageHead Head) { this->onHead(std::move(Head)); },
               [this](std::string_view Piece) { this->onBody(Piece); }}),
-      Writer(this->Socket), Timer(this->Socket.get_executor()),
-      Since(SteadyClock::now()) {}
+      Reader(this->Socket), Writer(this->Socket),
+      Timer(this->Socket.get_executor()), Since(SteadyClock::now()) {}
 
 void ServerConnection::start() {
   asio::error_code Ignored;
   // Without the option answers are only slower.
   this->Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  this->Reader.start(this->weak_from_this(),
+                     [this](asio::error_code Failed, std::string_view Bytes) {
+                       this->onRead(Failed, Bytes);
+                     });
   this->Writer.start(this->weak_from_this(), {[this] { this->onAllSent(); },
                                               [this] { this->close(); }});
   this->read();
@@ -198,19 +202,12 @@
 }
 
 void ServerConnection::read() {
-  if (this->ReadPending || this->At == Phase::Closed ||
-      this->Backlog.size() > MaxBacklog)
+  if (this->At == Phase::Closed || this->Backlog.size() > MaxBacklog)
     return;
-  this->ReadPending = true;
-  this->Socket.async_read_some(asio::buffer(this->Buffer),
-                               [this, Alive = this->shared_from_this()](
-                                   asio::error_code Failed, std::size_t Size) {
-                                 this->ReadPending = false;
-                                 this->onRead(Failed, Size);
-                               });
+  this->Reader.read();
 }
 
-void ServerConnection::onRead(asio::error_code Failed, std::size_t Size) {
+void ServerConnection::onRead(asio::error_code Failed, std::string_view Bytes) {
   if (this->At == Phase::Closed)
     return;
   if (Failed) {
@@ -218,7 +215,7 @@
     return;
   }
   if (this->At != Phase::Lingering)
-    this->Backlog.append(this->Buffer.data(), Size);
+    this->Backlog.append(Bytes);
   if (this->At == Phase::Reading)
     this->parse();
   this->read();
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -8,14 +8,15 @@
 
 #include "http/httpserver.h"
 #include "http/messageparser.h"
+#include "streamreader.h"
 #include "streamwriter.h"
 
-#include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace kingcuphub::http {
 
@@ -58,7 +59,7 @@
   };
 
   void read();
-  void onRead(asio::error_code Failed, std::size_t Size);
+  void onRead(asio::error_code Failed, std::string_view Bytes);
   void parse();
   void onHead(MessageHead Head);
   void onBody(std::string_view Piece);
@@ -77,14 +78,13 @@
   asio::ip::tcp::socket Socket;
   std::shared_ptr<ServerState> Shared;
   MessageParser Parser;
+  StreamReader Reader;
   StreamWriter Writer;
   asio::steady_timer Timer;
-  std::array<char, 16384> Buffer{};
   /// Bytes that were read and not parsed yet.
   std::string Backlog;
   Request Incoming;
   bool KeepAlive = true;
-  bool ReadPending = false;
   Phase At = Phase::Reading;
   /// When the phase, or the message that is being read, began.
   std::chrono::steady_clock::time_point Since;
