What a refusal says of smaller requests stands once

The credit book and the shares each had their own comparison with half of what was refused; base/refusal.h says it for both. No change of behaviour.

--- a/src/admission/creditbook.h
+++ b/src/admission/creditbook.h
@@ -98,7 +98,6 @@
   };
 
   void rollHorizon(Holding &Each, base::TimePoint Now) const;
-  static bool refusedFor(const Holding &Each, std::int64_t Amount);
 
   CreditBookSettings Settings;
   std::map<base::QuantityId, Holding> Holdings;
--- a/src/admission/internal/creditbook.cpp
+++ b/src/admission/internal/creditbook.cpp
@@ -1,5 +1,7 @@
 #include "admission/creditbook.h"
 
+#include "base/refusal.h"
+
 #include <algorithm>
 
 namespace kingcuphub::admission {
@@ -67,7 +69,8 @@
     bool Low = Each.Balance < Each.Wanted || Each.Balance * 2 < Target;
     bool Due = Now >= Each.AskAgainAt;
     std::int64_t Lacking = (Due ? Target : Each.Wanted) - Each.Balance;
-    bool Worthwhile = Due || (Lacking > 0 && !refusedFor(Each, Lacking));
+    bool Worthwhile =
+        Due || (Lacking > 0 && !base::refusalCovers(Each.Refused, Lacking));
     if (Low && !Unanswered && Worthwhile) {
       Each.PendingRequest = ++this->LastRequest;
       Each.AskedAt = Now;
@@ -88,19 +91,13 @@
   return Found == this->Holdings.end() ? 0 : Found->second.Balance;
 }
 
-/// Whether the last refusal says anything about \p Amount: an account that
-/// lacks a long stream's tokens may well have those of a short call.
-bool CreditBook::refusedFor(const Holding &Each, std::int64_t Amount) {
-  return 2 * Amount > Each.Refused;
-}
-
 std::optional<base::TimePoint>
 CreditBook::askAgainAt(const base::QuantityId &Quantity,
                        std::int64_t Amount) const {
   auto Found = this->Holdings.find(Quantity);
   if (Found == this->Holdings.end() ||
       Found->second.AskAgainAt == base::TimePoint{} ||
-      !refusedFor(Found->second, Amount))
+      !base::refusalCovers(Found->second.Refused, Amount))
     return std::nullopt;
   return Found->second.AskAgainAt;
 }
--- a/src/shares/internal/shares.cpp
+++ b/src/shares/internal/shares.cpp
@@ -1,6 +1,7 @@
 #include "shares/shares.h"
 
 #include "base/hashing.h"
+#include "base/refusal.h"
 
 #include <algorithm>
 
@@ -207,8 +208,7 @@
   Demand &Need = Each->Need;
   this->noteTaken(Need, Given, Now);
   Need.Wanted = Lacking;
-  // What was refused to a large request may well be there for a small one.
-  if (2 * Lacking <= Need.RefusedWanted)
+  if (!base::refusalCovers(Need.RefusedWanted, Lacking))
     Need.AskAgainAt = {};
   this->ask(Quantity, *Each, Now, Out);
   bool Known = Need.Request == 0;
