What engines hold is one type, and is copied only when it changes

The engine book gave pairs that the holder copied into the traffic side's type with each message; an instance copied the whole map for each reply of the holder, most of which only go on with what was known, and the board copied each entry again. HeldState moves to the catalog, the control side hands out one immutable map, the board takes over what differs. No change of behaviour.

--- a/src/catalog/target.h
+++ b/src/catalog/target.h
@@ -31,6 +31,16 @@
 
 using HeldModels = std::map<base::ModelId, HeldModel>;
 
+/// What a target holds by the word of the lease holder, which is newer than
+/// the platform's list.
+struct HeldState {
+  catalog::Lifetime Lifetime;
+  HeldModels Models;
+  bool operator==(const HeldState &) const = default;
+};
+using HeldStates = std::map<base::TargetId, HeldState>;
+using HeldStatesPtr = std::shared_ptr<const HeldStates>;
+
 /// One heartbeat of a target.
 struct TargetEntry {
   base::TargetId Id;
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -419,10 +419,11 @@
     if (Reply.listed_included())
       this->onListed(Reply, Now);
     this->noteListedAge(Reply);
-    if (Reply.held_included())
-      this->Held.apply(readHeld(Reply));
+    if (Reply.held_included() && this->Held.apply(readHeld(Reply)))
+      this->HeldNow =
+          std::make_shared<const catalog::HeldStates>(this->Held.values());
     if (Reply.held_revision() == this->Held.revision())
-      this->Traffic.setHeld(this->Held.values(), readLoading(Reply, Now),
+      this->Traffic.setHeld(this->HeldNow, readLoading(Reply, Now),
                             Now + this->Settings.HeldFor);
     if (Reply.instances() > 0)
       this->Traffic.setInstances(Reply.instances());
@@ -457,6 +458,8 @@
   std::uint64_t ReportNumber = 0;
   std::uint64_t HeldToken = 0;
   HeldReader Held;
+  /// A copy of its values that the traffic side may keep.
+  catalog::HeldStatesPtr HeldNow = std::make_shared<catalog::HeldStates>();
   ListedReader Listed;
   base::TimePoint ListedAt;
   /// When the newest reports were sent, by their numbers.
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -118,14 +118,14 @@
   this->Holder.onUse(Instance, readItems(Report), Now);
   wire::HolderReply Reply = this->newReply(Now);
   Reply.set_number(Report.number());
-  std::uint64_t Known =
-      Report.held_token() == this->Token->Value ? Report.held_revision() : 0;
-  if (Known != this->Held.revision())
+  // Revisions of a former holder's books mean nothing here.
+  bool Follows = Report.held_token() == this->Token->Value;
+  if (std::uint64_t Known = Follows ? Report.held_revision() : 0;
+      Known != this->Held.revision())
     writeHeld(this->Held.since(Known), Reply);
-  std::uint64_t KnownList =
-      Report.held_token() == this->Token->Value ? Report.listed_revision() : 0;
-  if (KnownList != this->Listed.revision())
-    writeListed(this->Listed.since(KnownList), Now, Reply);
+  if (std::uint64_t Known = Follows ? Report.listed_revision() : 0;
+      Known != this->Listed.revision())
+    writeListed(this->Listed.since(Known), Now, Reply);
   this->answerCredits(Report, Reply);
   this->Server->send(From, Reply.SerializeAsString());
   bool Waited =
@@ -231,13 +231,6 @@
   this->broadcast(News);
 }
 
-HeldBook::Values HolderSide::heldNow() const {
-  HeldBook::Values Out;
-  for (const auto &[Id, Each] : this->Holder.engines().held(this->Clock.now()))
-    Out[Id] = {Each.first, Each.second};
-  return Out;
-}
-
 /// Tells every instance what has changed of what engines hold.
 void HolderSide::publish() {
   base::TimePoint Now = this->Clock.now();
@@ -248,7 +241,7 @@
   if (auto Next = this->Holder.engines().nextChange(Now))
     this->publishAt(std::max(*Next, Now + this->Settings.PublishEvery));
   std::uint64_t Before = this->Held.revision();
-  if (!this->Held.update(this->heldNow()))
+  if (!this->Held.update(this->Holder.engines().held(Now)))
     return;
   this->PublishedAt = Now;
   wire::HolderReply News = this->newReply(Now);
--- a/src/control/internal/holderside.h
+++ b/src/control/internal/holderside.h
@@ -59,8 +59,6 @@
   void countSilent(base::TimePoint Now);
   /// What every message to an instance says.
   wire::HolderReply newReply(base::TimePoint Now) const;
-  /// Where each engine's state is known, by the newest reports and answers.
-  HeldBook::Values heldNow() const;
   void publish();
   /// Tells every instance what has changed of the list of targets.
   void publishListed(const catalog::TargetList &All);
--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -202,7 +202,7 @@
     Id.Value = Each.target();
     if (Each.gone())
       continue;
-    State = dispatch::HeldState{{Each.lifetime()}, readModels(Each.models())};
+    State = catalog::HeldState{{Each.lifetime()}, readModels(Each.models())};
   }
   return Out;
 }
--- a/src/control/internal/linkmessages.h
+++ b/src/control/internal/linkmessages.h
@@ -14,9 +14,9 @@
 
 namespace kingcuphub::control {
 
-using HeldBook = ChangeBook<base::TargetId, dispatch::HeldState>;
-using HeldReader = ChangeReader<base::TargetId, dispatch::HeldState>;
-using HeldDifference = Difference<base::TargetId, dispatch::HeldState>;
+using HeldBook = ChangeBook<base::TargetId, catalog::HeldState>;
+using HeldReader = ChangeReader<base::TargetId, catalog::HeldState>;
+using HeldDifference = Difference<base::TargetId, catalog::HeldState>;
 
 /// A target as the holder tells of it. Two are the same as long as nobody would
 /// act otherwise: heartbeats alone are no news, nor is the drift of a stated
--- a/src/control/trafficport.h
+++ b/src/control/trafficport.h
@@ -19,7 +19,7 @@
   virtual void setTargets(catalog::TargetListPtr New) = 0;
   virtual void setInstances(unsigned Count) = 0;
   virtual void
-  setHeld(std::map<base::TargetId, dispatch::HeldState> Held,
+  setHeld(catalog::HeldStatesPtr Held,
           std::map<dispatch::ServiceModel, base::TimePoint> Loading,
           base::TimePoint Until) = 0;
   virtual void onCredits(std::vector<forwarding::CreditNews> News) = 0;
--- a/src/dispatch/internal/targetboard.cpp
+++ b/src/dispatch/internal/targetboard.cpp
@@ -55,13 +55,16 @@
   }
 }
 
-void TargetBoard::setHeld(const base::TargetId &Id, HeldState Held,
+void TargetBoard::setHeld(const base::TargetId &Id,
+                          const catalog::HeldState &Held,
                           base::TimePoint Until) {
   State *Of = this->stateOf(Id);
   if (Of == nullptr || Held.Lifetime != Of->Lifetime)
     return;
   bool News = !Of->Held || Of->Held->Models != Held.Models;
-  Of->Held = std::move(Held);
+  // Most words only go on with what was known.
+  if (Of->Held != Held)
+    Of->Held = Held;
   Of->HeldUntil = Until;
   if (News)
     Of->Lacking.clear();
--- a/src/dispatch/targetboard.h
+++ b/src/dispatch/targetboard.h
@@ -66,14 +66,6 @@
   Refused,
 };
 
-/// What a target holds by the word of the lease holder, which is newer than
-/// the platform's list.
-struct HeldState {
-  catalog::Lifetime Lifetime;
-  catalog::HeldModels Models;
-  bool operator==(const HeldState &) const = default;
-};
-
 using ServiceModel = std::pair<catalog::ServiceId, base::ModelId>;
 
 struct TargetBoardSettings {
@@ -111,7 +103,8 @@
   void setTargets(catalog::TargetListPtr New);
   void setInstances(unsigned Count) { this->Cold.setInstances(Count); }
   /// Takes the lease holder's word; it holds until \p Until.
-  void setHeld(const base::TargetId &Id, HeldState Held, base::TimePoint Until);
+  void setHeld(const base::TargetId &Id, const catalog::HeldState &Held,
+               base::TimePoint Until);
 
   /// Takes the lease holder's word on when models will be loaded.
   void setLoading(std::map<ServiceModel, base::TimePoint> NewLoading);
@@ -148,7 +141,7 @@
     double FailureRate = 0;
     base::TimePoint FailureAt;
     base::TimePoint FullUntil;
-    std::optional<HeldState> Held;
+    std::optional<catalog::HeldState> Held;
     base::TimePoint HeldUntil;
     /// Models and adapters that it was found to lack, until when.
     std::map<std::pair<base::ModelId, base::AdapterId>, base::TimePoint>
--- a/src/dispatch/tests/targetboardtest.cpp
+++ b/src/dispatch/tests/targetboardtest.cpp
@@ -84,7 +84,7 @@
 TEST_F(TargetBoardTest, TheWordOnAnEarlierLifetimeCountsForNothing) {
   this->entry("a").Lifetime = {2};
   this->publish();
-  HeldState Old;
+  catalog::HeldState Old;
   Old.Lifetime = {1};
   this->Board.setHeld({"a"}, Old, Start + milliseconds(1000));
   EXPECT_EQ(this->choose(), "a");
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -74,9 +74,8 @@
   virtual void setCatalog(catalog::CatalogPtr New) = 0;
   virtual void setTargets(catalog::TargetListPtr New) = 0;
   virtual void setInstances(unsigned Count) = 0;
-  virtual void
-  setHeld(const std::map<base::TargetId, dispatch::HeldState> &Held,
-          base::TimePoint Until) = 0;
+  virtual void setHeld(const catalog::HeldStates &Held,
+                       base::TimePoint Until) = 0;
   virtual void
   setLoading(std::map<dispatch::ServiceModel, base::TimePoint> Loading) = 0;
   /// The holder has answered, with these grants if any.
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -65,7 +65,7 @@
     this->Context.Usage.setInstances(Count);
   }
 
-  void setHeld(const std::map<base::TargetId, dispatch::HeldState> &Held,
+  void setHeld(const catalog::HeldStates &Held,
                base::TimePoint Until) override {
     for (const auto &[Id, Each] : Held)
       this->Context.Board.setHeld(Id, Each, Until);
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -98,13 +98,13 @@
 }
 
 void TrafficThread::setHeld(
-    std::map<base::TargetId, dispatch::HeldState> Held,
+    catalog::HeldStatesPtr Held,
     std::map<dispatch::ServiceModel, base::TimePoint> Loading,
     base::TimePoint Until) {
   asio::post(this->Loop, [this, Held = std::move(Held),
                           Loading = std::move(Loading), Until] {
     this->Forwarder->setLoading(Loading);
-    this->Forwarder->setHeld(Held, Until);
+    this->Forwarder->setHeld(*Held, Until);
   });
 }
 
--- a/src/instance/internal/trafficthread.h
+++ b/src/instance/internal/trafficthread.h
@@ -36,7 +36,7 @@
   void setCatalog(catalog::CatalogPtr New) override;
   void setTargets(catalog::TargetListPtr New) override;
   void setInstances(unsigned Count) override;
-  void setHeld(std::map<base::TargetId, dispatch::HeldState> Held,
+  void setHeld(catalog::HeldStatesPtr Held,
                std::map<dispatch::ServiceModel, base::TimePoint> Loading,
                base::TimePoint Until) override;
   void onCredits(std::vector<forwarding::CreditNews> News) override;
--- a/src/residency/enginebook.h
+++ b/src/residency/enginebook.h
@@ -85,8 +85,7 @@
 
   std::vector<EngineView> views(base::TimePoint Now) const;
   /// What may be routed to, by target.
-  std::map<base::TargetId, std::pair<catalog::Lifetime, catalog::HeldModels>>
-  held(base::TimePoint Now) const;
+  catalog::HeldStates held(base::TimePoint Now) const;
   /// When each model that is being loaded will be there, by estimate.
   std::map<std::pair<catalog::ServiceId, base::ModelId>, base::TimePoint>
   loading(base::TimePoint Now) const;
--- a/src/residency/internal/enginebook.cpp
+++ b/src/residency/internal/enginebook.cpp
@@ -322,10 +322,8 @@
   return Out;
 }
 
-std::map<base::TargetId, std::pair<catalog::Lifetime, catalog::HeldModels>>
-EngineBook::held(base::TimePoint Now) const {
-  std::map<base::TargetId, std::pair<catalog::Lifetime, catalog::HeldModels>>
-      Out;
+catalog::HeldStates EngineBook::held(base::TimePoint Now) const {
+  catalog::HeldStates Out;
   for (const auto &[Id, Each] : this->Engines) {
     if (!Each.Reported)
       continue;
--- a/src/residency/tests/enginebooktest.cpp
+++ b/src/residency/tests/enginebooktest.cpp
@@ -148,7 +148,7 @@
   this->Book.onAnswer(*Sent, OrderAnswer::Accepted, this->Now);
   auto Holds = [this] {
     return this->Book.held(this->Now)[Engine1]
-        .second[ModelA.Model]
+        .Models[ModelA.Model]
         .Adapters.count(AdapterX.Adapter);
   };
   EXPECT_EQ(Holds(), 0U);
@@ -161,7 +161,7 @@
 TEST_F(EngineBookTest, AnItemThatIsBeingUnloadedIsNotHeld) {
   ASSERT_TRUE(
       this->Book.begin(Engine1, OrderKind::Unload, ModelA, {1}, this->Now));
-  EXPECT_TRUE(this->Book.held(this->Now)[Engine1].second.empty());
+  EXPECT_TRUE(this->Book.held(this->Now)[Engine1].Models.empty());
   EXPECT_EQ(this->view().TakenMb, 40);
 }
 
