What was written to a caller leaves once when its connection is closed

Load: engines crash while their streams run; the answer is broken off while a write of its last events is under way. Cause: Asio writes at once when a write is begun and tells of it in a later turn of the loop. An answer that was broken off between the two had the same bytes handed to the socket again by flushNow(). Change: the writer writes without blocking and waits for room, so that it knows at each moment what has left. Ruled out: the event framer (only whole events pass it); a second engine (the request reached one).

--- a/src/http/internal/streamwriter.cpp
+++ b/src/http/internal/streamwriter.cpp
@@ -21,7 +21,7 @@
     this->Queued = std::move(Bytes);
   else
     this->Queued += Bytes;
-  if (this->Scheduled || !this->Leaving.empty())
+  if (this->Scheduled || this->Waiting)
     return;
   this->Scheduled = true;
   asio::post(this->Socket.get_executor(), [this, Weak = this->Owner] {
@@ -33,49 +33,68 @@
 void StreamWriter::flushNow() {
   if (this->unsent() == 0)
     return;
-  std::string Rest = this->Leaving.substr(this->Taken) + this->Queued;
-  asio::error_code Failed;
-  this->Socket.non_blocking(true, Failed);
-  if (!Failed)
-    this->Socket.write_some(asio::buffer(Rest), Failed);
+  this->Leaving += std::exchange(this->Queued, {});
+  this->writeSome();
   this->Leaving.clear();
-  this->Queued.clear();
   this->Taken = 0;
 }
 
 void StreamWriter::flush(std::shared_ptr<void> Alive) {
   this->Scheduled = false;
-  if (!this->Leaving.empty() || this->Queued.empty())
+  if (this->Waiting)
     return;
-  this->Leaving = std::exchange(this->Queued, {});
+  while (!this->Queued.empty()) {
+    this->Leaving = std::exchange(this->Queued, {});
+    asio::error_code Failed = this->writeSome();
+    if (Failed == asio::error::would_block) {
+      this->waitForRoom(std::move(Alive));
+      return;
+    }
+    if (Failed) {
+      this->Take.OnFailed();
+      return;
+    }
+  }
+  this->Take.OnAllSent();
+}
+
+asio::error_code StreamWriter::writeSome() {
+  asio::error_code Failed;
+  if (!this->Socket.non_blocking())
+    this->Socket.non_blocking(true, Failed);
+  while (!Failed && this->Taken < this->Leaving.size()) {
+    std::size_t Size = this->Socket.write_some(
+        asio::buffer(this->Leaving.data() + this->Taken,
+                     this->Leaving.size() - this->Taken),
+        Failed);
+    if (Size == 0)
+      continue;
+    this->Taken += Size;
+    this->ProgressAt = std::chrono::steady_clock::now();
+  }
+  if (Failed)
+    return Failed;
+  this->Leaving.clear();
   this->Taken = 0;
-  this->writeSome(std::move(Alive));
+  return {};
 }
 
-void StreamWriter::writeSome(std::shared_ptr<void> Alive) {
-  this->Socket.async_write_some(
-      asio::buffer(this->Leaving.data() + this->Taken,
-                   this->Leaving.size() - this->Taken),
-      [this, Alive = std::move(Alive)](asio::error_code Failed,
-                                       std::size_t Size) mutable {
-        if (Failed) {
-          if (Failed != asio::error::operation_aborted)
-            this->Take.OnFailed();
+void StreamWriter::waitForRoom(std::shared_ptr<void> Alive) {
+  this->Waiting = true;
+  this->Socket.async_wait(
+      asio::ip::tcp::socket::wait_write,
+      [this, Alive = std::move(Alive)](asio::error_code Failed) mutable {
+        this->Waiting = false;
+        if (Failed == asio::error::operation_aborted)
           return;
-        }
-        this->ProgressAt = std::chrono::steady_clock::now();
-        this->Taken += Size;
-        if (this->Taken < this->Leaving.size()) {
-          this->writeSome(std::move(Alive));
-          return;
-        }
-        this->Leaving.clear();
-        this->Taken = 0;
-        if (!this->Queued.empty()) {
+        if (!Failed)
+          Failed = this->writeSome();
+        if (Failed == asio::error::would_block)
+          this->waitForRoom(std::move(Alive));
+        else if (Failed)
+          this->Take.OnFailed();
+        else
           this->flush(std::move(Alive));
-          return;
-        }
-        this->Take.OnAllSent();
       });
 }
 
--- a/src/http/internal/streamwriter.h
+++ b/src/http/internal/streamwriter.h
@@ -40,7 +40,10 @@
 
 private:
   void flush(std::shared_ptr<void> Alive);
-  void writeSome(std::shared_ptr<void> Alive);
+  /// Writes until the socket takes no more: an asynchronous write that is under
+  /// way would leave open how much of it has left already.
+  asio::error_code writeSome();
+  void waitForRoom(std::shared_ptr<void> Alive);
 
   asio::ip::tcp::socket &Socket;
   std::weak_ptr<void> Owner;
@@ -49,6 +52,8 @@
   std::string Leaving;
   std::size_t Taken = 0;
   bool Scheduled = false;
+  /// Until the socket has room again.
+  bool Waiting = false;
   std::chrono::steady_clock::time_point ProgressAt;
 };
 
