The holder counts copies once a round and plans no oftener than it can afford

Load: 140 engines, 242 models and 678 adapters; requests at 89 instances wait for adapters, and each report that says so had the holder plan anew. Loads under way follow the weight store's rate times the time of a load (28 on this site, 6 before on every site). Test: PlannerTest.LoadsUnderWayFollowWhatTheWeightStoreBears.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -40,6 +40,11 @@
   /// adapter to be loaded.
   std::chrono::milliseconds UrgentReportEvery{5};
   std::chrono::milliseconds Tick{50};
+  /// The least time between two rounds of planning, by itself and in parts of
+  /// what a round takes, so that planning leaves the most of the machine to the
+  /// other duties of its instance.
+  std::chrono::milliseconds PlanEvery{10};
+  double PlanGap = 8;
   /// The least time between two messages of the holder's on what engines hold:
   /// about as long as an adapter takes to be fetched.
   std::chrono::milliseconds PublishEvery{10};
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -13,7 +13,7 @@
                        const base::Clock &Clock, metrics::Registry &Metrics)
     : Settings(Settings), Engines(Engines), Lease(Lease), Clock(Clock),
       Metrics(Metrics), Holder(Settings.Holder), Usage(Settings.Usage),
-      PublishTimer(Loop) {}
+      PlanTimer(Loop), PublishTimer(Loop) {}
 
 base::Result<void> HolderSide::listen(messaging::Messaging &Messages) {
   auto Started = Messages.serve(
@@ -132,7 +132,7 @@
       std::any_of(Report.items().begin(), Report.items().end(),
                   [](const wire::ItemUse &Each) { return Each.waiting() > 0; });
   if (Waited)
-    this->tick();
+    this->planSoon();
 }
 
 void HolderSide::answerCredits(const wire::InstanceReport &Report,
@@ -180,11 +180,32 @@
     this->giveUp();
   if (!this->Token)
     return;
-  this->countSilent(this->Clock.now());
-  for (const residency::HolderCommand &Each :
-       this->Holder.tick(this->Clock.now()))
+  base::TimePoint Begun = this->Clock.now();
+  this->countSilent(Begun);
+  for (const residency::HolderCommand &Each : this->Holder.tick(Begun))
     this->carryOut(Each);
   this->publish();
+  base::Duration Took = this->Clock.now() - Begun;
+  this->Metrics.histogram("plan_ms").add(Took);
+  this->NextPlanAt =
+      Begun + std::max(std::chrono::duration_cast<base::Duration>(
+                           Took * this->Settings.PlanGap),
+                       base::Duration(this->Settings.PlanEvery));
+}
+
+void HolderSide::planSoon() {
+  base::TimePoint Now = this->Clock.now();
+  if (Now >= this->NextPlanAt)
+    return this->tick();
+  if (std::exchange(this->PlanDue, true))
+    return;
+  this->PlanTimer.expires_after(this->NextPlanAt - Now);
+  this->PlanTimer.async_wait([this](asio::error_code Failed) {
+    if (Failed)
+      return;
+    this->PlanDue = false;
+    this->tick();
+  });
 }
 
 void HolderSide::publishAt(base::TimePoint At) {
@@ -296,7 +317,7 @@
           base::logEvent(base::LogLevel::Warn, "engine-silent",
                          {{"target", Id.Value}});
         this->Holder.onReport(Id, Report, this->Clock.now());
-        this->tick();
+        this->planSoon();
       });
 }
 
@@ -339,7 +360,7 @@
         if (Answer == residency::OrderAnswer::Fenced)
           this->Lease.onFenced();
         this->Holder.onAnswer(What, Answer, Now);
-        this->tick();
+        this->planSoon();
       });
 }
 
--- a/src/control/internal/holderside.h
+++ b/src/control/internal/holderside.h
@@ -35,6 +35,7 @@
   /// Takes the lease's record, of which a new holder inherits the number of
   /// instances.
   void onRecord(const residency::LeaseRecord &Record);
+  /// Plans now; to be called regularly.
   void tick();
   /// Whether an instance that is far better equipped would take the lease.
   bool shouldYield() const;
@@ -57,6 +58,8 @@
   void onReport(const messaging::ClientName &From, std::string_view Bytes);
   void answerCredits(const wire::InstanceReport &Report, wire::HolderReply &To);
   void countSilent(base::TimePoint Now);
+  /// Plans once the time between two rounds has passed.
+  void planSoon();
   /// What every message to an instance says.
   wire::HolderReply newReply(base::TimePoint Now) const;
   void publish();
@@ -91,6 +94,9 @@
   HeldBook Held;
   ListedBook Listed;
   std::optional<base::TimePoint> TargetsReadAt;
+  asio::steady_timer PlanTimer;
+  base::TimePoint NextPlanAt;
+  bool PlanDue = false;
   asio::steady_timer PublishTimer;
   base::TimePoint PublishedAt;
   std::optional<base::TimePoint> PublishDue;
--- a/src/residency/internal/holder.cpp
+++ b/src/residency/internal/holder.cpp
@@ -60,8 +60,9 @@
     if (!Service.Engine)
       continue;
     auto [Budget, New] = this->Budgets.try_emplace(
-        Id, placement::LoadLimits{Service.Engine->StoreLoadsPerSecond,
-                                  this->Settings.Planner.LoadsAtOnce});
+        Id, placement::LoadLimits{
+                Service.Engine->StoreLoadsPerSecond,
+                loadsAtOnce(*Service.Engine, this->Settings.Planner)});
     if (New)
       Budget->second.start(Now);
     auto UnderWay = static_cast<unsigned>(
--- a/src/residency/internal/planner.cpp
+++ b/src/residency/internal/planner.cpp
@@ -18,18 +18,21 @@
 class Round {
 public:
   Round(const PlanInput &Input, const PlannerSettings &Settings)
-      : Input(Input), Settings(Settings), StoreLoads(Input.StoreLoads) {
-    for (const EngineView &Each : Input.Engines)
-      if (Each.Service == Input.Service) {
-        this->Engines.push_back(Each);
-        this->RoomsComing += Each.Usable && Each.FreesMemory ? 1 : 0;
-      }
+      : Input(Input), Settings(Settings), StoreLoads(Input.StoreLoads),
+        MostLoads(loadsAtOnce(Input.Kind, Settings)) {
     for (const auto &[Id, Model] : Input.Kind.Models) {
-      this->readModel(Model);
+      ModelState &New = this->Models[Id];
+      New.Model = &Model;
+      New.Demand = Input.Demand.of(Input.Service, {Id, {}}, Input.Now);
       if (Model.Adapters > 0)
         this->LargestAdapterMb =
             std::max(this->LargestAdapterMb, Model.AdapterMb);
     }
+    for (const EngineView &Each : Input.Engines)
+      if (Each.Service == Input.Service) {
+        this->Engines.push_back(Each);
+        this->count(Each);
+      }
   }
 
   std::vector<Move> run() {
@@ -52,18 +55,30 @@
     }
   };
 
-  void readModel(const catalog::Model &Model) {
-    ModelState New;
-    New.Model = &Model;
-    New.Demand = this->Input.Demand.of(this->Input.Service, {Model.Id, {}},
-                                       this->Input.Now);
-    for (const EngineView &Each : this->Engines) {
-      bool Counts = Each.Models.count(Model.Id) != 0 ||
-                    Each.Loading.count({Model.Id, {}}) != 0;
-      New.Copies += Each.Usable && Counts ? 1 : 0;
-      this->LoadsUnderWay += Each.Loading.count({Model.Id, {}}) != 0 ? 1 : 0;
+  /// Counts the copies that the engine has or is about to have.
+  void count(const EngineView &Of) {
+    this->RoomsComing += Of.Usable && Of.FreesMemory ? 1 : 0;
+    auto Copy = [this, &Of](const base::ModelId &Id) {
+      auto Found = this->Models.find(Id);
+      if (Of.Usable && Found != this->Models.end())
+        ++Found->second.Copies;
+    };
+    for (const auto &[Id, Held] : Of.Models) {
+      Copy(Id);
+      for (const base::AdapterId &Each : Held.Adapters)
+        this->AdapterCopies[{Id, Each}] += Of.Usable ? 1 : 0;
+    }
+    for (const Item &Each : Of.Loading) {
+      auto Held = Of.Models.find(Each.Model);
+      bool ModelHeld = Held != Of.Models.end();
+      if (!Each.isAdapter()) {
+        ++this->LoadsUnderWay;
+        if (!ModelHeld)
+          Copy(Each.Model);
+      } else if (!ModelHeld || Held->second.Adapters.count(Each.Adapter) == 0) {
+        this->AdapterCopies[Each] += Of.Usable ? 1 : 0;
+      }
     }
-    this->Models[Model.Id] = New;
   }
 
   std::vector<ModelState *> byWork() {
@@ -108,6 +123,8 @@
       ++this->LoadsUnderWay;
       ++this->Models[What.Model].Copies;
     }
+    if (What.isAdapter() && Kind == OrderKind::Load)
+      ++this->AdapterCopies[What];
     At.TakesModelOrder = false;
     At.TakesAdapterOrder = false;
     this->Moves.push_back({At.Target, Kind, What, Reason, FromStore});
@@ -196,9 +213,7 @@
     return Of.Demand.HeldWork / (Of.Copies - 1);
   }
 
-  bool loadsLeft() const {
-    return this->LoadsUnderWay < this->Settings.LoadsAtOnce;
-  }
+  bool loadsLeft() const { return this->LoadsUnderWay < this->MostLoads; }
 
   void placeWaitedModels() {
     for (ModelState *Each : this->byWork()) {
@@ -245,14 +260,8 @@
   }
 
   unsigned adapterCopies(const Item &What) const {
-    unsigned Copies = 0;
-    for (const EngineView &Each : this->Engines) {
-      auto Held = Each.Models.find(What.Model);
-      bool There = Held != Each.Models.end() &&
-                   Held->second.Adapters.count(What.Adapter) != 0;
-      Copies += Each.Usable && (There || Each.Loading.count(What) != 0) ? 1 : 0;
-    }
-    return Copies;
+    auto Found = this->AdapterCopies.find(What);
+    return Found == this->AdapterCopies.end() ? 0 : Found->second;
   }
 
   /// Loads the adapter where its model is, in place of one that is missed less
@@ -350,17 +359,33 @@
   const PlanInput &Input;
   const PlannerSettings &Settings;
   unsigned StoreLoads;
+  unsigned MostLoads;
   unsigned LoadsUnderWay = 0;
   /// Engines on which memory for a model is about to be free.
   unsigned RoomsComing = 0;
   double LargestAdapterMb = 0;
   std::vector<EngineView> Engines;
   std::map<base::ModelId, ModelState> Models;
+  /// On usable engines, held or on their way.
+  std::map<Item, unsigned> AdapterCopies;
   std::vector<Move> Moves;
 };
 
 } // namespace
 
+unsigned loadsAtOnce(const catalog::Engine &Kind,
+                     const PlannerSettings &Settings) {
+  if (Kind.Models.empty())
+    return Settings.LeastLoadsAtOnce;
+  std::chrono::duration<double> Whole{0};
+  for (const auto &[Id, Each] : Kind.Models)
+    Whole += Each.StoreLoad;
+  double Mean = Whole.count() / static_cast<double>(Kind.Models.size());
+  return std::max(
+      Settings.LeastLoadsAtOnce,
+      static_cast<unsigned>(std::ceil(Mean * Kind.StoreLoadsPerSecond)));
+}
+
 std::vector<Move> planMoves(const PlanInput &Input,
                             const PlannerSettings &Settings) {
   return Round(Input, Settings).run();
--- a/src/residency/planner.h
+++ b/src/residency/planner.h
@@ -30,8 +30,9 @@
   /// Copies of an adapter: its part of its model's demand, times the copies of
   /// the model, times this.
   double AdapterSpread = 1.5;
-  /// Model loads that may be under way at a time.
-  unsigned LoadsAtOnce = 6;
+  /// Model loads that may be under way at a time, however few the weight store
+  /// bears: those from an engine's own disk do not burden it.
+  unsigned LeastLoadsAtOnce = 6;
 };
 
 struct PlanInput {
@@ -54,6 +55,11 @@
   bool FromStore = false;
 };
 
+/// Model loads that may be under way at a time: as many as the weight store
+/// starts in the time that one takes.
+unsigned loadsAtOnce(const catalog::Engine &Kind,
+                     const PlannerSettings &Settings);
+
 /// At most one move an engine.
 std::vector<Move> planMoves(const PlanInput &Input,
                             const PlannerSettings &Settings);
--- a/src/residency/tests/plannertest.cpp
+++ b/src/residency/tests/plannertest.cpp
@@ -139,6 +139,18 @@
 
 } // namespace
 
+/// Load pattern: demand moves on a fleet of 140 engines whose weight store
+/// starts 20 loads a second. As many loads are under way as the store bears.
+TEST(PlannerTest, LoadsUnderWayFollowWhatTheWeightStoreBears) {
+  catalog::Engine Kind;
+  Kind.StoreLoadsPerSecond = 20;
+  Kind.Models[modelName(0)].StoreLoad = milliseconds(1400);
+  EXPECT_EQ(loadsAtOnce(Kind, PlannerSettings{}), 28U);
+  Kind.StoreLoadsPerSecond = 1.6;
+  EXPECT_EQ(loadsAtOnce(Kind, PlannerSettings{}),
+            PlannerSettings{}.LeastLoadsAtOnce);
+}
+
 /// Random models and adapters are asked for: no engine is given more than it
 /// holds, and what callers wait for comes.
 RC_GTEST_PROP(PlannerTest, NoEngineIsOvercommitted, ()) {
