Below its limit an account is not refused, at six instances as at a hundred

Load: each of a hundred instances gets a request of an account every few seconds; a burst comes and goes; the holder changes every two seconds. An account of 28,270 tokens a second may use 254,000 in a window; 89 instances each held a request's tokens ahead for three seconds. Cause: credit was held ahead of need, by each instance for its own use, and lay there; it counted as spent. New holders began with empty pools. Instances tell a new holder what they have admitted in the window; what the former handed out counts no more. One that has run for less than a window does not count as told. Ruled out: that the limits were reached (sum of what was asked: 55% of them). Tests: UsageTest.AHundredInstancesLeaveNoPartOfALimitIdle, RefusalsEndWithTheirCause, HolderChangesInSeriesRefuseNobodyBelowTheLimit, AHundredInstancesStayWithinTheLimit.

--- a/src/admission/creditbook.h
+++ b/src/admission/creditbook.h
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <variant>
@@ -64,6 +65,13 @@
   /// without a word from the agent; given back with the rest once idle.
   void setReserve(const base::QuantityId &Quantity, std::int64_t Amount);
 
+  /// Holds no more than \p Amount ahead of what is waited for.
+  void setMostAhead(const base::QuantityId &Quantity, std::int64_t Amount);
+
+  /// Drops what was handed over and asked for, as whoever it came from hands
+  /// out nothing any more. Debts stay.
+  void forgetCredit();
+
   /// Takes in an answer of the agent's.
   void credited(const base::QuantityId &Quantity, std::int64_t Amount,
                 std::uint64_t Request, std::chrono::milliseconds RetryAfter,
@@ -84,6 +92,7 @@
     std::int64_t Balance = 0;
     std::int64_t Wanted = 0;
     std::int64_t Reserve = 0;
+    std::int64_t MostAhead = std::numeric_limits<std::int64_t>::max();
     std::uint64_t PendingRequest = 0;
     /// How much the last question asked for, and how much of it was refused.
     std::int64_t Asked = 0;
--- a/src/admission/internal/creditbook.cpp
+++ b/src/admission/internal/creditbook.cpp
@@ -40,6 +40,20 @@
   this->Holdings[Quantity].Reserve = Amount;
 }
 
+void CreditBook::setMostAhead(const base::QuantityId &Quantity,
+                              std::int64_t Amount) {
+  this->Holdings[Quantity].MostAhead = Amount;
+}
+
+void CreditBook::forgetCredit() {
+  for (auto &[Quantity, Each] : this->Holdings) {
+    Each.Balance = std::min<std::int64_t>(Each.Balance, 0);
+    Each.PendingRequest = 0;
+    Each.Refused = 0;
+    Each.AskAgainAt = {};
+  }
+}
+
 void CreditBook::credited(const base::QuantityId &Quantity, std::int64_t Amount,
                           std::uint64_t Request,
                           std::chrono::milliseconds RetryAfter,
@@ -62,6 +76,7 @@
     std::int64_t Ahead = std::max(Each.UsedNow, Each.UsedBefore);
     if (Recent)
       Ahead = std::max(Ahead, Each.Reserve);
+    Ahead = std::min(Ahead, Each.MostAhead);
     std::int64_t Target = Each.Wanted + Ahead;
     bool Unanswered = Each.PendingRequest != 0 &&
                       Now - Each.AskedAt < this->Settings.AskTimeout;
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -374,6 +374,24 @@
     this->Link->send(Out.SerializeAsString());
   }
 
+  /// What the former holder told counts no more, and the new one is told what
+  /// was admitted under it.
+  void onNewHolder() {
+    this->Held.forget();
+    this->Listed.forget();
+    this->Traffic.changeHolder(
+        [this,
+         Live = this->Alive](const std::vector<dispatch::UsedAmount> &Used) {
+          if (!*Live || !this->Link)
+            return;
+          wire::InstanceReport Out = this->newReport();
+          base::TimePoint Now = this->Clock.now();
+          bool Whole = Now >= this->StartedAt + this->Settings.Usage.Window;
+          writeHistory(Used, Whole, Now, Out);
+          this->Link->send(Out.SerializeAsString());
+        });
+  }
+
   wire::InstanceReport newReport() {
     wire::InstanceReport Out;
     Out.set_instance(this->Settings.Self.Value);
@@ -411,10 +429,8 @@
     this->onCatalogWord({Reply.catalog_version()});
     this->Lease.onWord({Reply.lease_end()},
                        std::chrono::milliseconds(Reply.lease_left_ms()), Now);
-    if (this->HeldToken != Reply.token()) {
-      this->Held.forget();
-      this->Listed.forget();
-    }
+    if (this->HeldToken != Reply.token())
+      this->onNewHolder();
     this->HeldToken = Reply.token();
     if (Reply.listed_included())
       this->onListed(Reply, Now);
@@ -448,6 +464,7 @@
   asio::steady_timer ReportTimer;
   std::function<void()> Ready;
   std::map<std::string, bool> Reachable;
+  base::TimePoint StartedAt = this->Clock.now();
   base::TimePoint TickedAt;
   base::TimePoint ReportedAt;
   base::TimePoint HolderAt;
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -137,9 +137,11 @@
 
 void HolderSide::answerCredits(const wire::InstanceReport &Report,
                                wire::HolderReply &To) {
+  base::TimePoint Now = this->Clock.now();
+  if (Report.history_included())
+    this->Usage.onHistory(readHistory(Report, Now), Report.history_whole());
   if (!this->Catalog)
     return;
-  base::TimePoint Now = this->Clock.now();
   auto Find = [this](const std::string &Name) {
     auto Found = this->Catalog->Accounts.find({Name});
     return Found == this->Catalog->Accounts.end() ? nullptr : &Found->second;
--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -77,6 +77,28 @@
 
 } // namespace
 
+void writeHistory(const std::vector<dispatch::UsedAmount> &Used, bool Whole,
+                  base::TimePoint Now, wire::InstanceReport &To) {
+  To.set_history_included(true);
+  To.set_history_whole(Whole);
+  for (const dispatch::UsedAmount &Each : Used) {
+    wire::TokenUse &Out = *To.add_history();
+    Out.set_account(Each.Account.Value);
+    Out.set_amount(Each.Amount);
+    Out.set_age_ms(static_cast<std::uint32_t>(base::millisOf(Now - Each.At)));
+  }
+}
+
+std::vector<dispatch::UsedAmount> readHistory(const wire::InstanceReport &From,
+                                              base::TimePoint Now) {
+  std::vector<dispatch::UsedAmount> Out;
+  for (const wire::TokenUse &Each : From.history())
+    Out.push_back({{Each.account()},
+                   Each.amount(),
+                   Now - std::chrono::milliseconds(Each.age_ms())});
+  return Out;
+}
+
 void writeHeld(const HeldDifference &News, wire::HolderReply &To) {
   To.set_held_included(true);
   To.set_held_base(News.Base);
--- a/src/control/internal/linkmessages.h
+++ b/src/control/internal/linkmessages.h
@@ -34,6 +34,12 @@
 void writeCredits(const std::vector<admission::CreditCommand> &Commands,
                   wire::InstanceReport &To);
 
+/// What was admitted before the holder of the report was first heard.
+void writeHistory(const std::vector<dispatch::UsedAmount> &Used, bool Whole,
+                  base::TimePoint Now, wire::InstanceReport &To);
+std::vector<dispatch::UsedAmount> readHistory(const wire::InstanceReport &From,
+                                              base::TimePoint Now);
+
 void writeHeld(const HeldDifference &News, wire::HolderReply &To);
 HeldDifference readHeld(const wire::HolderReply &From);
 
--- a/src/control/trafficport.h
+++ b/src/control/trafficport.h
@@ -23,6 +23,10 @@
           std::map<dispatch::ServiceModel, base::TimePoint> Loading,
           base::TimePoint Until) = 0;
   virtual void onCredits(std::vector<forwarding::CreditNews> News) = 0;
+  /// Another holder hands out credit from now on. \p Done is called on the
+  /// control thread with what was admitted within the window.
+  virtual void
+  changeHolder(std::function<void(std::vector<dispatch::UsedAmount>)> Done) = 0;
   /// Asks for what was counted; \p Done is called on the control thread.
   virtual void takeUse(std::function<void(forwarding::TrafficUse)> Done) = 0;
 };
--- a/src/dispatch/internal/usageadmission.cpp
+++ b/src/dispatch/internal/usageadmission.cpp
@@ -55,33 +55,51 @@
       base::Tokens{std::min(Wait.Cost.Value, std::max<std::int64_t>(1, Burst))};
   bool AtHand =
       this->Book.held(admission::accountTokens(Account.Id)) >= Wait.Cost.Value;
+  double Limit =
+      Account.RatePerSecond *
+          std::chrono::duration<double>(this->Settings.Window).count() +
+      Account.Burst;
+  this->Book.setMostAhead(
+      admission::accountTokens(Account.Id),
+      static_cast<std::int64_t>(Limit * this->Settings.AheadPart /
+                                std::max(1U, this->Instances)));
   if (!this->isAlone(Now) || AtHand) {
+    this->Costs[Wait.Request] = {Account.Id, Wait.Cost.Value};
     this->Line.add(lineAccount(Account), std::move(Wait), Now);
     return;
   }
-  if (this->takeAlone(Account, Wait.Cost.Value, Now))
+  if (this->takeAlone(Account, Wait.Cost.Value, Now)) {
+    this->History.add(Account.Id, Wait.Cost.Value, Now);
     this->Decided.emplace_back(admission::TokensTaken{Wait.Request});
-  else
+  } else
     this->Decided.emplace_back(
         admission::TokensRefused{Wait.Request, RetryWhenAlone});
 }
 
 void UsageAdmission::remove(const base::RequestId &Request) {
+  this->Costs.erase(Request);
   this->Line.remove(Request);
 }
 
 void UsageAdmission::charge(const catalog::Account &Account,
-                            std::int64_t Amount) {
+                            std::int64_t Amount, base::TimePoint Now) {
+  this->History.add(Account.Id, Amount, Now);
   this->Book.putBack(admission::accountTokens(Account.Id), -Amount);
 }
 
 void UsageAdmission::putBack(const catalog::Account &Account,
-                             std::int64_t Amount) {
+                             std::int64_t Amount, base::TimePoint Now) {
   auto Burst = static_cast<std::int64_t>(Account.Burst);
+  this->History.add(Account.Id, -std::min(Amount, Burst), Now);
   this->Book.putBack(admission::accountTokens(Account.Id),
                      std::min(Amount, Burst));
 }
 
+std::vector<UsedAmount> UsageAdmission::onNewHolder(base::TimePoint Now) {
+  this->Book.forgetCredit();
+  return this->History.used(Now);
+}
+
 void UsageAdmission::onCredit(const base::AccountId &Account,
                               const CreditGrant &Grant, std::uint64_t Request,
                               base::TimePoint Now) {
@@ -91,11 +109,26 @@
 
 std::vector<admission::TokenOutcome> UsageAdmission::tick(base::TimePoint Now) {
   std::vector<admission::TokenOutcome> Out = std::exchange(this->Decided, {});
-  for (admission::TokenOutcome &Each : this->Line.tick(Now))
+  for (admission::TokenOutcome &Each : this->Line.tick(Now)) {
+    this->note(Each, Now);
     Out.push_back(std::move(Each));
+  }
   return Out;
 }
 
+void UsageAdmission::note(const admission::TokenOutcome &Outcome,
+                          base::TimePoint Now) {
+  const base::RequestId &Request = std::visit(
+      [](const auto &Each) -> const base::RequestId & { return Each.Request; },
+      Outcome);
+  auto Found = this->Costs.find(Request);
+  if (Found == this->Costs.end())
+    return;
+  if (std::holds_alternative<admission::TokensTaken>(Outcome))
+    this->History.add(Found->second.first, Found->second.second, Now);
+  this->Costs.erase(Found);
+}
+
 std::vector<admission::CreditCommand>
 UsageAdmission::takeCommands(base::TimePoint Now) {
   return this->Book.tick(Now);
--- a/src/dispatch/internal/usagepool.cpp
+++ b/src/dispatch/internal/usagepool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace kingcuphub::dispatch {
 
@@ -13,9 +14,62 @@
 
 void UsagePool::start(base::TimePoint Now) {
   this->StartedAt = Now;
+  this->Told = 0;
   this->Pools.clear();
 }
 
+void UsagePool::onHistory(const std::vector<UsedAmount> &Used, bool Whole) {
+  this->Told += Whole ? 1 : 0;
+  for (auto &[Id, Each] : this->Pools)
+    Each.Replayed = false;
+  for (const UsedAmount &Each : Used) {
+    auto [At, New] = this->Pools.try_emplace(Each.Account);
+    Pool &Of = At->second;
+    if (New)
+      Of.At = this->StartedAt;
+    auto Amount = static_cast<double>(Each.Amount);
+    auto Later =
+        std::upper_bound(Of.Before.begin(), Of.Before.end(), Each.At,
+                         [](base::TimePoint Time, const Granted &Known) {
+                           return Time < Known.At;
+                         });
+    Of.Before.insert(Later, {Each.At, Amount});
+    Of.BeforeSum += Amount;
+  }
+}
+
+bool UsagePool::isHistoryKnown() const {
+  return 2 * this->Told >= this->Instances;
+}
+
+double UsagePool::historyScale() const {
+  return this->Told == 0
+             ? 1
+             : std::max(1.0, static_cast<double>(this->Instances) / this->Told);
+}
+
+double UsagePool::usedInWindow(const Pool &Of) const {
+  return Of.WindowSum + Of.BeforeSum * this->historyScale();
+}
+
+double UsagePool::replayedLevel(const Pool &Of, const catalog::Account &Account,
+                                base::TimePoint Now) const {
+  double Level = Account.Burst;
+  base::TimePoint At = this->StartedAt - this->Settings.Window;
+  double Rate = this->wholeRate(Account, Now);
+  auto Take = [&](const Granted &Each, double Scale) {
+    double Passed = std::max(0.0, Seconds(Each.At - At).count());
+    Level = std::min(Level + Rate * Passed, Account.Burst);
+    Level = std::max(0.0, Level - Each.Amount * Scale);
+    At = std::max(At, Each.At);
+  };
+  for (const Granted &Each : Of.Before)
+    Take(Each, this->historyScale());
+  for (const Granted &Each : Of.InWindow)
+    Take(Each, 1);
+  return std::min(Level + Rate * Seconds(Now - At).count(), Account.Burst);
+}
+
 void UsagePool::setInstances(unsigned NewInstances, unsigned NewSilent) {
   this->Instances = std::max(1U, NewInstances);
   this->Silent = std::min(NewSilent, this->Instances);
@@ -28,8 +82,8 @@
 double UsagePool::wholeRate(const catalog::Account &Account,
                             base::TimePoint Now) const {
   double Rate = Account.RatePerSecond;
-  // What a former holder handed out in the window is not known.
-  if (Now >= this->StartedAt + this->Settings.Window)
+  // Without what was admitted before the lease, the rate alone is certain.
+  if (this->isHistoryKnown() || Now >= this->StartedAt + this->Settings.Window)
     Rate += this->Settings.BurstReturns * Account.Burst /
             Seconds(this->Settings.Window).count();
   return Rate * this->pooledPart();
@@ -51,12 +105,17 @@
   Of.Level =
       std::min(Of.Level + this->wholeRate(Account, Now) * std::max(0.0, Passed),
                Account.Burst);
+  if (this->isHistoryKnown() && !std::exchange(Of.Replayed, true))
+    Of.Level = this->replayedLevel(Of, Account, Now);
   Of.At = Now;
-  while (!Of.InWindow.empty() &&
-         Of.InWindow.front().At + this->Settings.Window <= Now) {
-    Of.WindowSum -= Of.InWindow.front().Amount;
-    Of.InWindow.pop_front();
-  }
+  auto Expire = [&](std::deque<Granted> &Each, double &Sum) {
+    while (!Each.empty() && Each.front().At + this->Settings.Window <= Now) {
+      Sum -= Each.front().Amount;
+      Each.pop_front();
+    }
+  };
+  Expire(Of.InWindow, Of.WindowSum);
+  Expire(Of.Before, Of.BeforeSum);
   return Of;
 }
 
@@ -68,14 +127,18 @@
   double Lacks = std::max(1.0, Amount - std::max(0.0, Of.Level));
   auto Wait = std::chrono::milliseconds(static_cast<std::int64_t>(
       std::ceil(Lacks / this->wholeRate(Account, Now) * std::milli::den)));
-  double Over = Of.WindowSum + Amount - this->windowLimit(Account);
-  for (const Granted &Each : Of.InWindow) {
+  double Over = this->usedInWindow(Of) + Amount - this->windowLimit(Account);
+  auto WaitOut = [&](const Granted &Each, double Scale) {
     if (Over <= 0)
-      break;
-    Over -= Each.Amount;
+      return;
+    Over -= Each.Amount * Scale;
     Wait = std::max(Wait, std::chrono::ceil<std::chrono::milliseconds>(
                               Each.At + this->Settings.Window - Now));
-  }
+  };
+  for (const Granted &Each : Of.Before)
+    WaitOut(Each, this->historyScale());
+  for (const Granted &Each : Of.InWindow)
+    WaitOut(Each, 1);
   return std::clamp(Wait, std::chrono::milliseconds(1),
                     this->Settings.LongestRetry);
 }
@@ -83,7 +146,7 @@
 CreditGrant UsagePool::onAsk(const catalog::Account &Account,
                              std::int64_t Amount, base::TimePoint Now) {
   Pool &Of = this->refilled(Account, Now);
-  double InWindow = this->windowLimit(Account) - Of.WindowSum;
+  double InWindow = this->windowLimit(Account) - this->usedInWindow(Of);
   auto Level =
       static_cast<std::int64_t>(std::max(0.0, std::min(Of.Level, InWindow)));
   CreditGrant Out;
--- a/src/dispatch/tests/usagetest.cpp
+++ b/src/dispatch/tests/usagetest.cpp
@@ -1,10 +1,11 @@
 #include "dispatch/usageadmission.h"
 
-#include <array>
 #include <deque>
 #include <gtest/gtest.h>
 #include <random>
 #include <rapidcheck/gtest.h>
+#include <utility>
+#include <vector>
 
 using namespace kingcuphub;
 using namespace kingcuphub::dispatch;
@@ -18,17 +19,28 @@
 constexpr double Burst = 80000;
 constexpr std::size_t InstanceCount = 8;
 
+/// An account and the instances that its callers reach.
+struct Setting {
+  std::size_t Instances = InstanceCount;
+  double PerSecond = Rate;
+  double MostAtOnce = Burst;
+  double RequestSize = 900;
+  /// Callers reach any instance alike; else some far more often than others.
+  bool Even = false;
+};
+
 /// Instances with their side of the limit, one holder of the pool at a time,
 /// and a network with delays that can be cut for some of them.
 class Fleet {
 public:
-  explicit Fleet(std::uint64_t Seed) : Random(Seed) {
+  explicit Fleet(std::uint64_t Seed, Setting NewOf = {})
+      : Of(NewOf), Random(Seed), Members(NewOf.Instances) {
     this->Account.Id = {"account"};
-    this->Account.RatePerSecond = Rate;
-    this->Account.Burst = Burst;
+    this->Account.RatePerSecond = this->Of.PerSecond;
+    this->Account.Burst = this->Of.MostAtOnce;
     this->Pool.start(this->Now);
     for (Member &Each : this->Members)
-      Each.Side.setInstances(InstanceCount);
+      Each.Side.setInstances(static_cast<unsigned>(this->Of.Instances));
   }
 
   /// Requests for \p Factor times the rate arrive, at some instances far more
@@ -40,12 +52,18 @@
         this->drawWeights();
       this->deliver();
       this->countSilent();
-      for (std::size_t Index = 0; Index < InstanceCount; ++Index)
+      for (std::size_t Index = 0; Index < this->Members.size(); ++Index)
         this->serve(Index, Factor);
     }
   }
 
-  void changeHolder() { this->Pool.start(this->Now); }
+  void changeHolder() {
+    this->Pool.start(this->Now);
+    for (Member &Each : this->Members)
+      Each.KnowsHolder = false;
+  }
+  std::size_t refused() const { return this->Refused; }
+  std::size_t asked() const { return this->Requests; }
   void cut(std::size_t Index, bool Cut) { this->Members[Index].Cut = Cut; }
   double admittedPerSecond() const {
     double Sum = 0;
@@ -62,6 +80,7 @@
     double Weight = 1;
     double Unsent = 0;
     bool Cut = false;
+    bool KnowsHolder = false;
   };
   struct Reply {
     base::TimePoint At;
@@ -73,24 +92,40 @@
   void drawWeights() {
     std::uniform_real_distribution<double> Draw(0, 4);
     for (Member &Each : this->Members)
-      Each.Weight = Draw(this->Random);
+      Each.Weight = this->Of.Even ? 2 : Draw(this->Random);
+  }
+
+  /// Requests that arrive at an instance within a step.
+  std::size_t arrivals(Member &At, double Factor) {
+    double Mean = this->Of.PerSecond * Factor * At.Weight / 2 /
+                  static_cast<double>(this->Of.Instances) *
+                  std::chrono::duration<double>(Step).count() /
+                  this->Of.RequestSize;
+    if (this->Of.Even)
+      return std::poisson_distribution<std::size_t>(Mean)(this->Random);
+    At.Unsent += Mean;
+    auto Out = static_cast<std::size_t>(At.Unsent);
+    At.Unsent -= static_cast<double>(Out);
+    return Out;
   }
 
   void serve(std::size_t Index, double Factor) {
     Member &Of = this->Members[Index];
-    Of.Unsent += Rate * Factor * Of.Weight / 2 / InstanceCount *
-                 std::chrono::duration<double>(Step).count();
-    for (; Of.Unsent >= RequestSize; Of.Unsent -= RequestSize) {
+    if (!Of.Cut && !std::exchange(Of.KnowsHolder, true))
+      this->Pool.onHistory(Of.Side.onNewHolder(this->Now), true);
+    for (std::size_t Left = this->arrivals(Of, Factor); Left > 0; --Left) {
       admission::TokenWait Wait;
       Wait.Request = {std::to_string(++this->Requests)};
       Wait.Account = this->Account.Id;
-      Wait.Cost = base::Tokens{static_cast<std::int64_t>(RequestSize)};
+      Wait.Cost = base::Tokens{static_cast<std::int64_t>(this->Of.RequestSize)};
       Wait.StartBy = this->Now + milliseconds(300);
       Of.Side.add(this->Account, Wait, this->Now);
     }
     for (const admission::TokenOutcome &Each : Of.Side.tick(this->Now))
       if (std::holds_alternative<admission::TokensTaken>(Each))
-        this->admit(RequestSize);
+        this->admit(this->Of.RequestSize);
+      else
+        ++this->Refused;
     for (const admission::CreditCommand &Each : Of.Side.takeCommands(this->Now))
       if (!Of.Cut)
         this->toHolder(Index, Each);
@@ -134,7 +169,8 @@
     unsigned Silent = 0;
     for (const Member &Each : this->Members)
       Silent += this->Now > Each.HeardAt + milliseconds(1000) ? 1 : 0;
-    this->Pool.setInstances(InstanceCount, Silent);
+    this->Pool.setInstances(static_cast<unsigned>(this->Members.size()),
+                            Silent);
   }
 
   void admit(double Amount) {
@@ -147,16 +183,16 @@
     this->Worst = std::max(this->Worst, Sum);
   }
 
-  static constexpr double RequestSize = 900;
-
+  Setting Of;
   std::mt19937_64 Random;
   base::TimePoint Now{std::chrono::hours(1)};
   catalog::Account Account;
   UsagePool Pool{UsagePoolSettings{}};
-  std::array<Member, InstanceCount> Members;
+  std::vector<Member> Members;
   std::deque<Reply> Replies;
   std::deque<std::pair<base::TimePoint, double>> Admitted;
   std::uint64_t Requests = 0;
+  std::size_t Refused = 0;
 };
 
 /// The deployments' bound on a window: a tenth above rate and burst, and a
@@ -191,3 +227,67 @@
   EXPECT_GE(Admitted, 0.6 * Rate);
   EXPECT_GE(All.admittedPerSecond(), 0.95 * Rate);
 }
+
+namespace {
+
+/// A small account of a fleet whose instances see a request of it every few
+/// seconds.
+constexpr Setting LargeFleet{95, 28000, 28000, 1700, true};
+constexpr double LargeBound = (28000.0 * 8 + 28000) * 1.1 + 7000;
+/// What an account asks that is allowed 1.8 times its usual traffic.
+constexpr double Usual = 0.55;
+
+} // namespace
+
+/// Load pattern: below its limit an account is not refused, however many
+/// instances its callers reach.
+TEST(UsageTest, AHundredInstancesLeaveNoPartOfALimitIdle) {
+  Fleet All(11, LargeFleet);
+  All.run(milliseconds(20000), Usual);
+  EXPECT_EQ(All.refused(), 0U) << "of " << All.asked();
+  EXPECT_LE(All.Worst, LargeBound);
+}
+
+/// Load pattern: a burst takes the account above its limit. Once it is over,
+/// the account is served again within a window.
+TEST(UsageTest, RefusalsEndWithTheirCause) {
+  Fleet All(12, LargeFleet);
+  All.run(milliseconds(10000), Usual);
+  All.run(milliseconds(4000), 4);
+  All.run(milliseconds(8000), Usual);
+  std::size_t Refused = All.refused();
+  EXPECT_GT(Refused, 0U);
+  All.run(milliseconds(12000), Usual);
+  EXPECT_EQ(All.refused(), Refused) << "of " << All.asked();
+  EXPECT_LE(All.Worst, LargeBound);
+}
+
+/// Load pattern: the instance that holds the lease is replaced every two
+/// seconds, as all machines are restarted in turn.
+TEST(UsageTest, HolderChangesInSeriesRefuseNobodyBelowTheLimit) {
+  Fleet All(13, LargeFleet);
+  All.run(milliseconds(9000), Usual);
+  for (int Change = 0; Change < 8; ++Change) {
+    All.changeHolder();
+    All.run(milliseconds(2000), Usual);
+  }
+  EXPECT_EQ(All.refused(), 0U) << "of " << All.asked();
+  EXPECT_LE(All.Worst, LargeBound);
+}
+
+/// Load pattern: an account sends eight times its rate through a hundred
+/// instances while holders change and instances are cut off.
+RC_GTEST_PROP(UsageTest, AHundredInstancesStayWithinTheLimit, ()) {
+  Fleet All(*rc::gen::arbitrary<std::uint64_t>(), LargeFleet);
+  All.run(milliseconds(3000), Usual);
+  for (int Round = 0; Round < 3; ++Round) {
+    for (int Cut = 0; Cut < 10; ++Cut)
+      All.cut(*rc::gen::inRange<std::size_t>(0, LargeFleet.Instances),
+              *rc::gen::arbitrary<bool>());
+    if (*rc::gen::arbitrary<bool>())
+      All.changeHolder();
+    All.run(milliseconds(*rc::gen::inRange(500, 5000)),
+            *rc::gen::inRange(0, 9));
+  }
+  RC_ASSERT(All.Worst <= LargeBound);
+}
--- a/src/dispatch/usagepool.h
+++ b/src/dispatch/usagepool.h
@@ -5,13 +5,16 @@
 /// Load pattern: the callers of an account with a small burst are spread over
 /// all instances, or one account sends many times its rate. The holder of the
 /// lease keeps each account's tokens in one pool and hands them to the
-/// instances as they ask; what was handed out is spent. A new holder begins
-/// with empty pools, as the former one may have handed out everything. For
-/// each instance that has gone silent, the pool's rate is lowered by what such
-/// an instance may use on its own (see usageadmission.h). No I/O and no clock.
+/// instances as they ask; what was handed out is spent. A new holder learns
+/// from the instances what they have admitted within the window, and hands out
+/// no more than the rate until half of them have told it; what the others have
+/// admitted is taken to be as much. For each instance that has gone silent, the
+/// pool's rate is lowered by what such an instance may use on its own (see
+/// usageadmission.h). No I/O and no clock.
 
 #include "base/clock.h"
 #include "catalog/catalog.h"
+#include "dispatch/usagehistory.h"
 
 #include <chrono>
 #include <deque>
@@ -48,10 +51,13 @@
 public:
   explicit UsagePool(UsagePoolSettings Settings) : Settings(Settings) {}
 
-  /// A lease was gained: what was handed out before is not known.
+  /// A lease was gained: what was admitted before is not known yet.
   void start(base::TimePoint Now);
   /// Of \p Instances, \p Silent have not been heard of lately.
   void setInstances(unsigned NewInstances, unsigned NewSilent);
+  /// What an instance has admitted before this holder handed out anything to
+  /// it; each instance tells once. \p Whole: it has run for a whole window.
+  void onHistory(const std::vector<UsedAmount> &Used, bool Whole);
   CreditGrant onAsk(const catalog::Account &Account, std::int64_t Amount,
                     base::TimePoint Now);
   void onReturn(const catalog::Account &Account, std::int64_t Amount,
@@ -69,8 +75,21 @@
     base::TimePoint At;
     std::deque<Granted> InWindow;
     double WindowSum = 0;
+    /// What instances have told of the time before the lease, by time.
+    std::deque<Granted> Before;
+    double BeforeSum = 0;
+    /// Whether the level goes by what all have told.
+    bool Replayed = false;
   };
 
+  /// Whether enough instances have told of the time before the lease.
+  bool isHistoryKnown() const;
+  /// Instances for each one that has told.
+  double historyScale() const;
+  double usedInWindow(const Pool &Of) const;
+  /// The level that a pool has come to which was full a window ago.
+  double replayedLevel(const Pool &Of, const catalog::Account &Account,
+                       base::TimePoint Now) const;
   /// The part of a limit that silent instances do not use on their own.
   double pooledPart() const;
   double wholeRate(const catalog::Account &Account, base::TimePoint Now) const;
@@ -84,6 +103,8 @@
   base::TimePoint StartedAt;
   unsigned Instances = 1;
   unsigned Silent = 0;
+  /// Instances that have told of a whole window before the lease.
+  unsigned Told = 0;
   std::map<base::AccountId, Pool> Pools;
 };
 
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -78,6 +78,9 @@
                        base::TimePoint Until) = 0;
   virtual void
   setLoading(std::map<dispatch::ServiceModel, base::TimePoint> Loading) = 0;
+  /// Another holder hands out credit from now on; returns what was admitted
+  /// within the window of the accounts' limits.
+  virtual std::vector<dispatch::UsedAmount> changeHolder() = 0;
   /// The holder has answered, with these grants if any.
   virtual void onCredits(const std::vector<CreditNews> &News) = 0;
   virtual TrafficUse takeUse() = 0;
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -542,7 +542,7 @@
 bool Exchange::payForRepeat() {
   bool Paid = this->Context.Repeats.take(this->Service, this->now());
   if (Paid && this->Runs > 0 && this->Account != nullptr)
-    this->Context.Usage.charge(*this->Account, this->amount());
+    this->Context.Usage.charge(*this->Account, this->amount(), this->now());
   if (!Paid)
     this->log(base::LogLevel::Info, "repeat-refused",
               {{"service", this->Service.Value}});
@@ -735,7 +735,7 @@
   auto Self = this->shared_from_this();
   bool CertainlyUnrun = this->Runs == 0 && !this->Target;
   if (this->UsageTaken && CertainlyUnrun && this->Account != nullptr)
-    this->Context.Usage.putBack(*this->Account, this->amount());
+    this->Context.Usage.putBack(*this->Account, this->amount(), this->now());
   this->leaveLine();
   if (this->Context.Unadmitted.erase(this->Number) > 0)
     this->Context.Usage.remove(this->Number);
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -77,6 +77,10 @@
     this->Context.Board.setLoading(std::move(Loading));
   }
 
+  std::vector<dispatch::UsedAmount> changeHolder() override {
+    return this->Context.Usage.onNewHolder(this->Context.Clock.now());
+  }
+
   void onCredits(const std::vector<CreditNews> &News) override {
     base::TimePoint Now = this->Context.Clock.now();
     this->Context.Usage.onContact(Now);
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -12,6 +12,7 @@
   Out.Board.Zone = Options.Zone;
   Out.Board.Cold.Self = Options.Name;
   Out.Repeats = Options.Repeats;
+  Out.Usage.Window = Options.UsageWindow;
   return Out;
 }
 
@@ -114,6 +115,16 @@
   });
 }
 
+void TrafficThread::changeHolder(
+    std::function<void(std::vector<dispatch::UsedAmount>)> Done) {
+  asio::post(this->Loop, [this, Done = std::move(Done)] {
+    asio::post(this->ControlLoop,
+               [Done, Used = this->Forwarder->changeHolder()]() mutable {
+                 Done(std::move(Used));
+               });
+  });
+}
+
 void TrafficThread::takeUse(std::function<void(forwarding::TrafficUse)> Done) {
   asio::post(this->Loop, [this, Done = std::move(Done)] {
     asio::post(this->ControlLoop,
