--- a/src/dispatch/tests/usagetest.cpp
+++ b/src/dispatch/tests/usagetest.cpp
@@ -234,8 +234,8 @@
 /// seconds.
 constexpr Setting LargeFleet{95, 28000, 28000, 1700, true};
 constexpr double LargeBound = (28000.0 * 8 + 28000) * 1.1 + 7000;
-/// What an account asks that is allowed 1.8 times its usual traffic.
-constexpr double Usual = 0.55;
+/// What an account asks in parts of its rate: below it, by a fifth.
+constexpr double Usual = 0.8;
 
 } // namespace
 
