A new holder's knowledge of the past errs on the safe side

Load: holders change in series while an account sends many times its rate through instances of which some are cut off, and are reached unevenly. Cause: amounts were told with the time of the first of half a second, and left the window early; instances that had not told were taken to have admitted the mean, also where callers reach them far more often. Change: amounts count until the end of the 100 ms that they belong to; instances that have not told count twice the mean, and 85 in 100 have to have told before more than the rate is handed out; while it learns, a holder asks for another ask after 50 ms; an ask for one request is met whole or not. The model compares with one bucket that sees all requests. Also here: bytes without end in a head, an event or a refusal are cut; targets that say that they leave, or want no requests for a time, get none.

--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -85,7 +85,8 @@
     wire::TokenUse &Out = *To.add_history();
     Out.set_account(Each.Account.Value);
     Out.set_amount(Each.Amount);
-    Out.set_age_ms(static_cast<std::uint32_t>(base::millisOf(Now - Each.At)));
+    // The newest part has not ended yet.
+    Out.set_age_ms(static_cast<std::int32_t>(base::millisOf(Now - Each.At)));
   }
 }
 
--- a/src/dispatch/internal/targetboard.cpp
+++ b/src/dispatch/internal/targetboard.cpp
@@ -16,6 +16,9 @@
 /// How long a target counts as lacking what it said it lacks, unless the lease
 /// holder says otherwise.
 constexpr std::chrono::milliseconds LackingFor{1500};
+/// How long the word of a target is kept that is listed no more: longer than an
+/// outage of the store, in which entries lapse.
+constexpr std::chrono::minutes WordKeptFor{10};
 
 } // namespace
 
@@ -55,6 +58,43 @@
   }
 }
 
+void TargetBoard::onLeaving(const base::TargetId &Id, base::TimePoint Now) {
+  if (OwnWord *Said = this->wordToChange(Id, Now))
+    Said->Leaving = true;
+}
+
+void TargetBoard::onAskedToWait(const base::TargetId &Id,
+                                std::chrono::milliseconds For,
+                                base::TimePoint Now) {
+  if (OwnWord *Said = this->wordToChange(Id, Now))
+    Said->WaitUntil = std::max(Said->WaitUntil, Now + For);
+}
+
+TargetBoard::OwnWord *TargetBoard::wordToChange(const base::TargetId &Id,
+                                                base::TimePoint Now) {
+  State *Of = this->stateOf(Id);
+  if (Of == nullptr)
+    return nullptr;
+  std::erase_if(this->Words, [&](const auto &Each) {
+    return this->find(Each.first) == nullptr &&
+           Now > Each.second.SaidAt + WordKeptFor;
+  });
+  OwnWord &Out = this->Words[Id];
+  if (Out.Lifetime != Of->Lifetime)
+    Out = {};
+  Out.Lifetime = Of->Lifetime;
+  Out.SaidAt = Now;
+  return &Out;
+}
+
+const TargetBoard::OwnWord *
+TargetBoard::wordOf(const catalog::Target &Target) const {
+  auto Found = this->Words.find(Target.Entry.Id);
+  bool Same = Found != this->Words.end() &&
+              Found->second.Lifetime == Target.Entry.Lifetime;
+  return Same ? &Found->second : nullptr;
+}
+
 void TargetBoard::setHeld(const base::TargetId &Id,
                           const catalog::HeldState &Held,
                           base::TimePoint Until) {
@@ -112,6 +152,8 @@
   if (Target.Entry.Leaving ||
       this->Targets->ZonesOut.count(Target.Entry.Zone) != 0)
     return false;
+  if (const OwnWord *Said = this->wordOf(Target); Said && Said->Leaving)
+    return false;
   return !Target.EndsAt || Now + this->Settings.LeastTimeLeft < *Target.EndsAt;
 }
 
@@ -212,6 +254,8 @@
     return NoTarget{};
   bool Any = false;
   bool Held = false;
+  bool AllWait = true;
+  std::optional<base::TimePoint> FirstWait;
   const catalog::Target *Best = nullptr;
   double BestCost = std::numeric_limits<double>::max();
   PromptChain Prompt = chainOf(Query);
@@ -225,6 +269,13 @@
     if (!this->holds(Target, Of, Query, Now))
       continue;
     Held = true;
+    if (const OwnWord *Said = this->wordOf(Target);
+        Said && Now < Said->WaitUntil) {
+      FirstWait =
+          std::min(FirstWait.value_or(Said->WaitUntil), Said->WaitUntil);
+      continue;
+    }
+    AllWait = false;
     if (Of.View.resting(Now) || this->isFull(Target, Of, Now))
       continue;
     if (Now < Target.ColdUntil &&
@@ -239,7 +290,7 @@
   if (Best != nullptr)
     return SendTo{Best->Entry.Id};
   if (Held)
-    return AllFull{};
+    return AllFull{AllWait ? FirstWait : std::nullopt};
   if (Any)
     return NotHeld{};
   return NoTarget{};
--- a/src/dispatch/internal/usagepool.cpp
+++ b/src/dispatch/internal/usagepool.cpp
@@ -28,24 +28,26 @@
     if (New)
       Of.At = this->StartedAt;
     auto Amount = static_cast<double>(Each.Amount);
-    auto Later =
-        std::upper_bound(Of.Before.begin(), Of.Before.end(), Each.At,
-                         [](base::TimePoint Time, const Granted &Known) {
-                           return Time < Known.At;
-                         });
-    Of.Before.insert(Later, {Each.At, Amount});
+    base::TimePoint End = endOfPart(Each.At);
+    auto Part = std::lower_bound(
+        Of.Before.begin(), Of.Before.end(), End,
+        [](const Granted &Known, base::TimePoint At) { return Known.At < At; });
+    if (Part == Of.Before.end() || Part->At != End)
+      Part = Of.Before.insert(Part, {End, 0});
+    Part->Amount += Amount;
     Of.BeforeSum += Amount;
   }
 }
 
 bool UsagePool::isHistoryKnown() const {
-  return 2 * this->Told >= this->Instances;
+  return this->Told >= this->Settings.ToldPart * this->Instances;
 }
 
 double UsagePool::historyScale() const {
-  return this->Told == 0
-             ? 1
-             : std::max(1.0, static_cast<double>(this->Instances) / this->Told);
+  if (this->Told == 0 || this->Told >= this->Instances)
+    return 1;
+  return 1 +
+         this->Settings.UntoldUse * (this->Instances - this->Told) / this->Told;
 }
 
 double UsagePool::usedInWindow(const Pool &Of) const {
@@ -139,8 +141,10 @@
     WaitOut(Each, this->historyScale());
   for (const Granted &Each : Of.InWindow)
     WaitOut(Each, 1);
+  bool Learning = Now < this->StartedAt + this->Settings.LearningFor;
   return std::clamp(Wait, std::chrono::milliseconds(1),
-                    this->Settings.LongestRetry);
+                    Learning ? this->Settings.LongestRetryWhileLearning
+                             : this->Settings.LongestRetry);
 }
 
 CreditGrant UsagePool::onAsk(const catalog::Account &Account,
@@ -150,7 +154,10 @@
   auto Level =
       static_cast<std::int64_t>(std::max(0.0, std::min(Of.Level, InWindow)));
   CreditGrant Out;
-  std::int64_t Least = std::min(Amount, this->Settings.LeastGrant);
+  // A part of one request's tokens would lie idle until the rest comes.
+  std::int64_t Least = Amount < 2 * this->Settings.LeastGrant
+                           ? Amount
+                           : this->Settings.LeastGrant;
   if (Level >= Least)
     Out.Amount = std::min(Amount, Level);
   if (Out.Amount > 0) {
--- a/src/dispatch/internal/waitpolicy.cpp
+++ b/src/dispatch/internal/waitpolicy.cpp
@@ -42,6 +42,8 @@
 }
 
 milliseconds WaitPolicy::expectedWait(const WaitQuestion &Asked) {
+  if (Asked.PlaceIn)
+    return *Asked.PlaceIn;
   double PerSecond = std::max(Asked.EndsPerSecond, LeastEndsPerSecond);
   return milliseconds(static_cast<std::int64_t>(
       static_cast<double>(Asked.Ahead + 1) / PerSecond * std::milli::den));
--- a/src/dispatch/targetboard.h
+++ b/src/dispatch/targetboard.h
@@ -5,9 +5,10 @@
 /// Which target a request goes to, or why it has to wait. Ruled out first,
 /// whatever the load: targets that leave, in a zone that is out, without the
 /// model or adapter, cold beyond their limit, full, or that have failed this
-/// request. Among the rest the least expected time to the first answer counts:
-/// what is queued there, what of the prompt is not cached, and how often the
-/// target has failed lately. No I/O and no clock.
+/// request, or want no requests for a time by their own answers. Among the rest
+/// the least expected time to the first answer counts: what is queued there,
+/// what of the prompt is not cached, and how often the target has failed
+/// lately. No I/O and no clock.
 
 #include "base/clock.h"
 #include "catalog/target.h"
@@ -39,7 +40,10 @@
   base::TargetId Target;
 };
 /// Every target that could serve it is full, or cold and capped.
-struct AllFull {};
+struct AllFull {
+  /// When the first of them takes requests again, where all have said so.
+  std::optional<base::TimePoint> Until;
+};
 /// Targets of the service are there, none has the model or adapter.
 struct NotHeld {};
 /// No target of the service may be used.
@@ -129,6 +133,11 @@
                  const base::AdapterId &Adapter, base::TimePoint Now);
   /// The target refused a request as it is full.
   void onFull(const base::TargetId &Id, base::TimePoint Now);
+  /// The target has said with an answer that it leaves.
+  void onLeaving(const base::TargetId &Id, base::TimePoint Now);
+  /// The target has said that it wants no request from here for \p For.
+  void onAskedToWait(const base::TargetId &Id, std::chrono::milliseconds For,
+                     base::TimePoint Now);
 
 private:
   struct State {
@@ -148,10 +157,23 @@
         Lacking;
   };
 
+  /// What a target has said of itself with its answers. It outlives the
+  /// target's entry, which may lapse and come back while the store is away.
+  struct OwnWord {
+    catalog::Lifetime Lifetime;
+    bool Leaving = false;
+    base::TimePoint WaitUntil;
+    base::TimePoint SaidAt;
+  };
+
   /// The parts of a prompt, each by the hash of all up to it.
   using PromptChain = std::vector<PromptPart>;
 
   State *stateOf(const base::TargetId &Id);
+  /// None if the target has said nothing in this lifetime.
+  const OwnWord *wordOf(const catalog::Target &Target) const;
+  /// The word of the target's present lifetime, to be changed.
+  OwnWord *wordToChange(const base::TargetId &Id, base::TimePoint Now);
   bool mayUse(const catalog::Target &Target, base::TimePoint Now) const;
   bool holds(const catalog::Target &Target, const State &Of,
              const TargetQuery &Query, base::TimePoint Now) const;
@@ -174,6 +196,7 @@
   ColdLimit Cold;
   routing::PrefixHints Hints;
   std::map<base::TargetId, State> States;
+  std::map<base::TargetId, OwnWord> Words;
   std::map<ServiceModel, base::TimePoint> Loading;
 };
 
--- a/src/dispatch/tests/targetboardtest.cpp
+++ b/src/dispatch/tests/targetboardtest.cpp
@@ -170,3 +170,45 @@
     EXPECT_GE(Sent.size(), 20U) << Instances;
   }
 }
+
+/// Load pattern: targets are replaced while the store is away, so that only
+/// their answers say that they leave.
+TEST_F(TargetBoardTest, ATargetThatSaysItLeavesGetsNothingInThisLifetime) {
+  this->publish();
+  this->Board.onLeaving({"a"}, Start);
+  EXPECT_NE(this->choose(), "a");
+  // Its entry lapses and comes back.
+  catalog::Target Listed = this->List.Targets[{"a"}];
+  this->List.Targets.erase({"a"});
+  this->publish();
+  this->List.Targets[{"a"}] = Listed;
+  this->publish();
+  for (int Each = 0; Each < 20; ++Each)
+    EXPECT_NE(this->choose(Start + milliseconds(500 * Each)), "a");
+  EXPECT_FALSE(this->Board.maySend({"a"}, Start));
+  // Another life of it has said nothing.
+  this->entry("a").Lifetime.Value = 7;
+  this->publish();
+  EXPECT_TRUE(this->Board.maySend({"a"}, Start));
+}
+
+/// Load pattern: all targets are full and say when to come back.
+TEST_F(TargetBoardTest, ATargetThatWantsNoRequestsGetsNoneUntilThen) {
+  this->publish();
+  this->Board.onAskedToWait({"a"}, milliseconds(800), Start);
+  EXPECT_EQ(this->choose(), "b");
+  this->Board.onAskedToWait({"b"}, milliseconds(600), Start);
+  this->Board.onAskedToWait({"c"}, milliseconds(900), Start);
+  auto Choice = this->Board.choose(this->Query, Start + milliseconds(100));
+  auto *Full = std::get_if<AllFull>(&Choice);
+  ASSERT_NE(Full, nullptr);
+  EXPECT_EQ(Full->Until, Start + milliseconds(600));
+  EXPECT_EQ(this->choose(Start + milliseconds(599)), "");
+  EXPECT_EQ(this->choose(Start + milliseconds(600)), "b");
+  // A shorter time that is said later does not end a longer one.
+  this->Board.onAskedToWait({"c"}, milliseconds(10), Start + milliseconds(700));
+  this->Board.onLeaving({"a"}, Start);
+  this->Board.onLeaving({"b"}, Start);
+  EXPECT_EQ(this->choose(Start + milliseconds(800)), "");
+  EXPECT_EQ(this->choose(Start + milliseconds(900)), "c");
+}
--- a/src/dispatch/usagehistory.h
+++ b/src/dispatch/usagehistory.h
@@ -17,13 +17,18 @@
 
 namespace kingcuphub::dispatch {
 
-/// An amount that requests of an account were admitted with, and when.
+/// An amount that requests of an account were admitted with, until when.
 struct UsedAmount {
   base::AccountId Account;
   std::int64_t Amount = 0;
   base::TimePoint At;
 };
 
+/// The end of the part of the window that \p At belongs to. Time is divided
+/// alike everywhere, so that few parts describe what many instances have
+/// admitted.
+base::TimePoint endOfPart(base::TimePoint At);
+
 class UsageHistory {
 public:
   explicit UsageHistory(base::Duration Window) : Window(Window) {}
@@ -35,8 +40,9 @@
   std::vector<UsedAmount> used(base::TimePoint Now) const;
 
 private:
+  /// What was admitted in a part of the window that ends at \c End.
   struct Part {
-    base::TimePoint At;
+    base::TimePoint End;
     std::int64_t Amount = 0;
   };
 
--- a/src/dispatch/usagepool.h
+++ b/src/dispatch/usagepool.h
@@ -7,8 +7,8 @@
 /// lease keeps each account's tokens in one pool and hands them to the
 /// instances as they ask; what was handed out is spent. A new holder learns
 /// from the instances what they have admitted within the window, and hands out
-/// no more than the rate until half of them have told it; what the others have
-/// admitted is taken to be as much. For each instance that has gone silent, the
+/// no more than the rate until nearly all have told it; for the others a
+/// multiple of the mean is assumed. For each instance that has gone silent, the
 /// pool's rate is lowered by what such an instance may use on its own (see
 /// usageadmission.h). No I/O and no clock.
 
@@ -40,11 +40,22 @@
   /// evenly, so that an account which asks for more than its limit is served at
   /// an even pace and not by the window's edge.
   double BurstReturns = 0.9;
+  /// What an instance is taken to have admitted before the lease that has not
+  /// told it, in parts of the mean of those that have: the balancer brings some
+  /// instances twice as many callers as others.
+  double UntoldUse = 2;
+  /// The part of the instances that has to have told; one of eight may be cut
+  /// off.
+  double ToldPart = 0.85;
   /// An ask that cannot be met whole is met in part from this amount on: about
   /// one request's tokens, so that no instance sits on less.
   std::int64_t LeastGrant = 1500;
-  /// The longest time that an instance is told not to ask again for.
+  /// The longest time that an instance is told not to ask again for; and while a
+  /// new holder still learns what was admitted before its lease.
   std::chrono::milliseconds LongestRetry{2000};
+  std::chrono::milliseconds LongestRetryWhileLearning{50};
+  /// How long instances take to tell it: they report several times a second.
+  std::chrono::milliseconds LearningFor{1000};
 };
 
 class UsagePool {
@@ -84,7 +95,7 @@
 
   /// Whether enough instances have told of the time before the lease.
   bool isHistoryKnown() const;
-  /// Instances for each one that has told.
+  /// What all have admitted before the lease, in parts of what was told.
   double historyScale() const;
   double usedInWindow(const Pool &Of) const;
   /// The level that a pool has come to which was full a window ago.
--- a/src/dispatch/waitpolicy.h
+++ b/src/dispatch/waitpolicy.h
@@ -59,6 +59,8 @@
   /// How long the caller goes on waiting for a first answer.
   std::chrono::milliseconds Patience{0};
   std::chrono::milliseconds Objective{0};
+  /// When a place is free, where all targets have said when they take requests.
+  std::optional<std::chrono::milliseconds> PlaceIn;
   /// Requests in the line, and how fast requests end at the service.
   std::size_t Ahead = 0;
   double EndsPerSecond = 0;
--- a/src/forwarding/dialect.h
+++ b/src/forwarding/dialect.h
@@ -40,6 +40,10 @@
   /// The answer carries the target's own proof that it is one.
   bool Proven = false;
   std::optional<dispatch::StatedLoad> Load;
+  /// The target leaves, and wants no further requests.
+  bool Leaving = false;
+  /// How long the target wants no further requests from this instance.
+  std::optional<std::chrono::milliseconds> Wait;
 };
 
 /// An answer of the system's own.
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -38,6 +38,9 @@
   /// An answer up to this size is held until it is whole, so that a cut one
   /// can be fetched again; larger ones are passed on as they arrive.
   std::size_t HoldBytes = 128U << 10U;
+  /// A target whose refusal, or one event of whose stream, is larger sends bytes
+  /// that are no answer.
+  std::size_t MaxPieceBytes = 256U << 10U;
   /// Bytes that a slow caller may leave unread before its target is held back.
   std::size_t UnsentBytes = 256U << 10U;
   /// An idempotent request, or a resumable stream, that is silent for this
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -213,7 +213,9 @@
   }
   this->Chosen.reset();
   using dispatch::WaitFor;
-  bool Full = std::holds_alternative<dispatch::AllFull>(Choice);
+  auto *AllFull = std::get_if<dispatch::AllFull>(&Choice);
+  bool Full = AllFull != nullptr;
+  this->PlaceAt = Full ? AllFull->Until : std::nullopt;
   bool Lacks = std::holds_alternative<dispatch::NotHeld>(Choice);
   this->WaitsFor = Full    ? WaitFor::Place
                    : Lacks ? WaitFor::Item
@@ -265,6 +267,10 @@
   Out.For = this->WaitsFor;
   Out.Patience = this->patience();
   Out.Objective = this->Route->Objective;
+  if (this->PlaceAt)
+    Out.PlaceIn = std::max(
+        milliseconds(1),
+        std::chrono::duration_cast<milliseconds>(*this->PlaceAt - Now));
   Out.Ahead = this->Context.Waiting.size();
   if (auto Rate = this->Context.EndRates.find(this->Service);
       Rate != this->Context.EndRates.end())
@@ -371,6 +377,7 @@
   this->SentAt = this->ProgressAt = Now;
   this->Receiving = Mode::Silent;
   this->Held.clear();
+  this->Dropped = 0;
   unsigned Current = ++this->Attempt;
   http::Peer Peer;
   Peer.Name = To.Value + "/" + std::to_string(Listed->Entry.Lifetime.Value) +
@@ -409,6 +416,7 @@
   this->HeadFacts = this->Context.Protocol.readAnswer(NewHead);
   this->ProgressAt = this->now();
   const AnswerFacts &Said = this->HeadFacts;
+  this->noteWordOfTarget(Said);
   bool Unrun = Said.NotRun || Said.Misdirected;
   bool OwnId = Said.Id == this->Facts.Id;
   if (!OwnId && !(Unrun && Said.Id.empty())) {
@@ -439,6 +447,21 @@
   this->beginPassing();
 }
 
+/// What the target wants from now on, whosever answer says it.
+void Exchange::noteWordOfTarget(const AnswerFacts &Said) {
+  if (Said.Leaving) {
+    this->Context.Board.onLeaving(*this->Target, this->now());
+    this->log(base::LogLevel::Info, "target-says-it-leaves",
+              {{"target", this->Target->Value}});
+  }
+  if (Said.Wait) {
+    this->Context.Board.onAskedToWait(*this->Target, *Said.Wait, this->now());
+    this->log(base::LogLevel::Info, "target-wants-no-requests",
+              {{"target", this->Target->Value},
+               {"for_ms", Said.Wait->count()}});
+  }
+}
+
 void Exchange::beginPassing() {
   this->Receiving = Mode::Passed;
   if (this->Begun)
@@ -460,7 +483,11 @@
   this->ProgressAt = this->now();
   switch (this->Receiving) {
   case Mode::Silent:
+    return;
   case Mode::Refused:
+    this->Dropped += Bytes.size();
+    if (this->Dropped > this->Context.Settings.MaxPieceBytes)
+      this->cutRefusal();
     return;
   case Mode::Held:
     this->Held.append(Bytes);
@@ -471,13 +498,28 @@
     return;
   case Mode::Passed:
     if (this->Route->Repeats == catalog::Repetition::Resumable)
-      this->pass(this->Events.feed(Bytes));
+      this->passEvents(Bytes);
     else
       this->pass(std::string(Bytes));
     return;
   }
 }
 
+void Exchange::passEvents(std::string_view Bytes) {
+  this->pass(this->Events.feed(Bytes));
+  if (this->Events.rest().size() > this->Context.Settings.MaxPieceBytes)
+    this->breakAttempt("event-too-large");
+}
+
+/// The refusal stands, whatever else the target sends.
+void Exchange::cutRefusal() {
+  if (this->Call)
+    this->Call->cancel();
+  this->Call.reset();
+  this->endAttempt(dispatch::AttemptEnd::Refused);
+  this->afterRefused();
+}
+
 void Exchange::pass(std::string Bytes) {
   if (Bytes.empty())
     return;
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -75,9 +75,12 @@
   void send(const base::TargetId &Target);
   SendFacts sendFacts(base::TimePoint Now) const;
   void onHead(const http::MessageHead &Head);
+  void noteWordOfTarget(const AnswerFacts &Said);
   void onData(std::string_view Bytes);
   void onDone(const http::ForwardResult &Result);
   void pass(std::string Bytes);
+  void passEvents(std::string_view Bytes);
+  void cutRefusal();
   void beginPassing();
   void breakAttempt(const char *Why);
   void endAttempt(dispatch::AttemptEnd How);
@@ -121,6 +124,8 @@
 
   bool InLine = false;
   dispatch::WaitFor WaitsFor = dispatch::WaitFor::Place;
+  /// When a place is free, where the targets have said it.
+  std::optional<base::TimePoint> PlaceAt;
   std::optional<base::TargetId> Chosen;
 
   std::set<base::TargetId> Tried;
@@ -136,6 +141,8 @@
   http::MessageHead Head;
   AnswerFacts HeadFacts;
   std::string Held;
+  /// Bytes of a refusal's body, which are dropped.
+  std::size_t Dropped = 0;
   /// The caller has the head of an answer.
   bool Begun = false;
   std::optional<base::TimePoint> FirstByteAt;
--- a/src/forwarding/tests/forwardertest.cpp
+++ b/src/forwarding/tests/forwardertest.cpp
@@ -42,6 +42,9 @@
     Out.NotRun = !Head.header("Not-Run").empty();
     Out.Misdirected = Head.Status == 421;
     Out.Proven = !Head.header("Proof").empty();
+    Out.Leaving = !Head.header("Leaving").empty();
+    if (std::string_view Wait = Head.header("Wait-Ms"); !Wait.empty())
+      Out.Wait = milliseconds(std::stoi(std::string(Wait)));
     return Out;
   }
 
@@ -363,6 +366,108 @@
   EXPECT_EQ(this->arrivals(), 1U);
 }
 
+TEST_F(ForwarderTest, ATargetThatSaysItLeavesGetsNoFurtherRequest) {
+  this->configure(catalog::Repetition::Idempotent);
+  this->bothAct([](const http::Request &Asked,
+                   const http::ResponseWriterPtr &Answer) {
+    Answer->respond({200,
+                     {{"Id", std::string(Asked.header("Id"))},
+                      {"Proof", "p"},
+                      {"Leaving", "1"}},
+                     "ok"});
+  });
+  for (int Each = 0; Each < 2; ++Each) {
+    this->ask();
+    this->wait();
+    EXPECT_EQ(this->Got->Status, 200);
+  }
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 503);
+  EXPECT_EQ(this->Targets[0].Got.size(), 1U);
+  EXPECT_EQ(this->Targets[1].Got.size(), 1U);
+}
+
+/// Both targets refuse, one with a time: it gets nothing before that, and a
+/// caller is told when to come back.
+TEST_F(ForwarderTest, ATargetThatWantsNoRequestsGetsNoneAndCallersAreTold) {
+  this->configure(catalog::Repetition::Idempotent);
+  this->bothAct([](const http::Request &Asked,
+                   const http::ResponseWriterPtr &Answer) {
+    Answer->respond({503,
+                     {{"Id", std::string(Asked.header("Id"))},
+                      {"Not-Run", "1"},
+                      {"Wait-Ms", "30000"}},
+                     ""});
+  });
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 503);
+  std::size_t Arrived = this->arrivals();
+  EXPECT_EQ(Arrived, 2U);
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 503);
+  EXPECT_EQ(this->arrivals(), Arrived);
+  std::string Told(http::findHeader(this->Got->Headers, "Retry-After-Ms"));
+  ASSERT_NE(Told, "");
+  EXPECT_GT(std::stoi(Told), 20000);
+}
+
+namespace {
+
+/// Writes for as long as the connection is open.
+void writeOn(const http::ResponseWriterPtr &Answer, const std::string &Bytes) {
+  if (!Answer->isOpen())
+    return;
+  Answer->write(Bytes);
+  Answer->onSent([Answer, Bytes] { writeOn(Answer, Bytes); });
+}
+
+} // namespace
+
+/// Bytes that are no event come without end within a stream.
+TEST_F(ForwarderTest, AnEventWithoutEndIsCutAndTheStreamTakenUpElsewhere) {
+  this->configure(catalog::Repetition::Resumable, true);
+  auto Endless = [](const http::Request &Asked,
+                    const http::ResponseWriterPtr &Answer) {
+    Answer->beginStream(
+        200, {{"Id", std::string(Asked.header("Id"))}, {"Proof", "p"}}, {});
+    Answer->write("id: 1\ndata: x\n\n");
+    writeOn(Answer, std::string(1U << 14U, 'z'));
+  };
+  auto Rest = events(2, 3, false);
+  this->bothAct([this, Endless, Rest](const http::Request &Asked,
+                                      const http::ResponseWriterPtr &Answer) {
+    if (this->arrivals() == 1)
+      Endless(Asked, Answer);
+    else
+      Rest(Asked, Answer);
+  });
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->End, http::TransferEnd::Complete);
+  EXPECT_EQ(this->Got->Body,
+            "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n");
+}
+
+/// A refusal whose body has no end is a refusal all the same.
+TEST_F(ForwarderTest, ARefusalWithoutEndIsCut) {
+  this->configure(catalog::Repetition::Never);
+  this->bothAct([this](const http::Request &Asked,
+                       const http::ResponseWriterPtr &Answer) {
+    if (this->arrivals() > 1)
+      return whole(200)(Asked, Answer);
+    Answer->beginStream(
+        503, {{"Id", std::string(Asked.header("Id"))}, {"Not-Run", "1"}}, {});
+    writeOn(Answer, std::string(1U << 14U, 'z'));
+  });
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 200);
+  EXPECT_EQ(this->arrivals(), 2U);
+}
+
 TEST_F(ForwarderTest, AtTheRoutesTimeoutTheCallerIsToldAndTheRunCancelled) {
   this->RouteTimeout = milliseconds(400);
   this->configure(catalog::Repetition::Never);
--- a/src/http/internal/forwardconnection.cpp
+++ b/src/http/internal/forwardconnection.cpp
@@ -115,6 +115,7 @@
   this->Sending = false;
   this->RequestSent = false;
   this->Paused = false;
+  this->InterimBytes = 0;
   this->Parser.reset(!this->HeadRequest);
   if (this->At == Phase::Idle) {
     this->Reused = true;
@@ -234,6 +235,12 @@
       this->onComplete(!Bytes.empty());
       return;
     }
+    // Heads that are followed by another one may come without end.
+    this->InterimBytes += Done.Consumed;
+    if (this->InterimBytes > this->Settings.MaxHeadBytes) {
+      this->end(ForwardEnd::Malformed, "interim heads without end");
+      return;
+    }
     this->Parser.reset(!this->HeadRequest);
   }
 }
--- a/src/http/internal/forwardconnection.h
+++ b/src/http/internal/forwardconnection.h
@@ -67,6 +67,7 @@
   std::uint64_t Calls = 0;
   Phase At = Phase::New;
   bool Interim = false;
+  std::size_t InterimBytes = 0;
   bool HeadRequest = false;
   bool KeepAlive = false;
   bool RequestSent = false;
--- a/src/http/tests/forwardclienttest.cpp
+++ b/src/http/tests/forwardclienttest.cpp
@@ -146,6 +146,26 @@
   EXPECT_EQ(this->Result->End, ForwardEnd::Malformed);
 }
 
+/// A head may come without end: as one header, as a reason, or as heads that say
+/// that another one follows.
+TEST_F(ForwardClientTest, AHeadWithoutEndIsSaidToBeNone) {
+  constexpr int Many = 20000;
+  std::string Header = "HTTP/1.1 200 OK\r\n";
+  std::string Interim;
+  for (int Each = 0; Each < Many; ++Each) {
+    Header += "X-More: zzzz\r\n";
+    Interim += "HTTP/1.1 103 Early\r\n\r\n";
+  }
+  std::string Reason = "HTTP/1.1 200 " + std::string(Many * 20, 'z');
+  std::size_t Index = 0;
+  for (const std::string &Endless : {Header, Interim, Reason}) {
+    this->ask();
+    this->answer(Index++, Endless);
+    ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+    EXPECT_EQ(this->Result->End, ForwardEnd::Malformed);
+  }
+}
+
 TEST_F(ForwardClientTest, ARefusedConnectionSentNothing) {
   this->Listener.close();
   this->ask();
