Nobody is denied by a catalog that may be out of date

Load: an outage of the store in which connections go silent; the operator changes the configuration meanwhile, and instances hear of it seconds apart. Cause: a catalog counted as current for as long as nothing newer had come. Change: a catalog is proven by an own read, counted from when it was asked for, or by the holder's word that the same version was the newest; beyond the deployment's bound for changes 401 and 404 become 503 with a time. Ruled out: refusing everything (what both versions allow is served).

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -65,6 +65,13 @@
   std::chrono::milliseconds InstanceFor{60000};
   /// An instance that was not heard for this long may be on its own.
   std::chrono::milliseconds SilentAfter{1000};
+  /// How long the store is asked to wait for a newer catalog: by the holder, by
+  /// whose word the others know that theirs is the newest; by an instance that
+  /// hears the holder, which hears of a newer one from it too; and by one that
+  /// does not.
+  std::chrono::milliseconds CatalogWaitOfHolder{500};
+  std::chrono::milliseconds CatalogWaitInTouch{12000};
+  std::chrono::milliseconds CatalogWaitAlone{1000};
   /// A new holder takes this long to hear of all instances.
   std::chrono::milliseconds CountAfter{2000};
   /// While the holder answers, its record in the store is not followed.
--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -32,6 +32,10 @@
 
 struct StoreEvents {
   std::function<void(catalog::CatalogPtr)> OnCatalog;
+  /// The store is asked for a newer catalog, and has answered; what came with
+  /// the answer was handed over before.
+  std::function<void()> OnCatalogAsked;
+  std::function<void()> OnCatalogAnswered;
   std::function<void(std::set<base::ZoneId>)> OnZonesOut;
   /// \p Whole: these are all targets that are listed.
   std::function<void(const std::vector<TargetUpdate> &, bool Whole)> OnTargets;
@@ -58,6 +62,8 @@
   virtual void followLease(bool Follow) = 0;
   /// Reads catalog and zones anew.
   virtual void readCatalogAgain() = 0;
+  /// How long the store is asked to wait for a newer catalog from now on.
+  virtual void setCatalogWait(std::chrono::milliseconds Wait) = 0;
   /// Whether the list of targets is followed; an instance that hears it from
   /// the holder need not.
   virtual void followTargets(bool Follow) = 0;
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/visitor.h"
 #include "cataloglag.h"
+#include "catalogproof.h"
 #include "holderside.h"
 
 #include <algorithm>
@@ -47,6 +48,11 @@
     Events.OnCatalog = [this](catalog::CatalogPtr New) {
       this->onCatalog(std::move(New));
     };
+    Events.OnCatalogAsked = [this] { this->Proof.onAsked(this->Clock.now()); };
+    Events.OnCatalogAnswered = [this] {
+      this->Proof.onAnswered();
+      this->publishProof();
+    };
     Events.OnZonesOut = [this](std::set<base::ZoneId> Zones) {
       this->Table.setZonesOut(std::move(Zones));
       this->publishTargets();
@@ -147,9 +153,32 @@
     return this->Catalog ? this->Catalog->Version : catalog::Version{};
   }
 
+  void publishProof() {
+    this->Holding.setCatalogProven(this->Proof.provenAt());
+    this->Traffic.setCatalogProven(this->Proof.provenAt());
+  }
+
+  /// The holder's word on its own catalog, as of when the report was sent that
+  /// it answers.
+  void takeProof(const wire::HolderReply &Reply) {
+    auto Sent = this->ReportsSent.find(Reply.number());
+    bool Fresh = Reply.has_catalog_age_ms() &&
+                 Sent != this->ReportsSent.end() && !this->Lease.claimedHere();
+    if (!Fresh)
+      return;
+    this->Proof.onWord({Reply.catalog_version()}, this->catalogVersion(),
+                       Sent->second -
+                           std::chrono::milliseconds(Reply.catalog_age_ms()));
+    this->publishProof();
+  }
+
   /// Another instance, or the holder, knows this version.
   void onCatalogWord(catalog::Version Theirs) {
     catalog::Version Own = this->catalogVersion();
+    if (Theirs > Own) {
+      this->Proof.onNewer();
+      this->publishProof();
+    }
     if (!this->Lag.onWord(Theirs, Own, this->Clock.now()))
       return;
     base::logEvent(base::LogLevel::Warn, "catalog-behind",
@@ -235,6 +264,10 @@
     if (Silent && !this->HolderSilent && !this->Lease.claimedHere())
       this->Lease.forgetEnd();
     this->HolderSilent = Silent;
+    this->Store.setCatalogWait(this->Lease.claimedHere()
+                                   ? this->Settings.CatalogWaitOfHolder
+                               : Silent ? this->Settings.CatalogWaitAlone
+                                        : this->Settings.CatalogWaitInTouch);
     this->Store.followLease(Silent || this->Lease.needsRead());
     this->Store.followTargets(this->Lease.claimedHere() ||
                               Now > this->ListedAt + this->Settings.ListedFor);
@@ -434,6 +467,7 @@
     this->HeldToken = Reply.token();
     if (Reply.listed_included())
       this->onListed(Reply, Now);
+    this->takeProof(Reply);
     this->noteListedAge(Reply);
     if (Reply.held_included() && this->Held.apply(readHeld(Reply)))
       this->HeldNow =
@@ -457,6 +491,7 @@
   catalog::TargetTable Table;
   catalog::TargetListPtr Published;
   CatalogLag Lag;
+  CatalogProof Proof;
   bool HasTargets = false;
   residency::HolderLease Lease;
   HolderSide Holding;
--- a/src/control/internal/holderside.cpp
+++ b/src/control/internal/holderside.cpp
@@ -236,6 +236,9 @@
   Out.set_listed_revision(this->Listed.revision());
   if (this->Catalog)
     Out.set_catalog_version(this->Catalog->Version.Value);
+  if (this->CatalogProvenAt != base::TimePoint{})
+    Out.set_catalog_age_ms(static_cast<std::uint32_t>(
+        base::millisOf(Now - this->CatalogProvenAt)));
   if (this->TargetsReadAt)
     Out.set_listed_age_ms(
         static_cast<std::uint32_t>(base::millisOf(Now - *this->TargetsReadAt)));
--- a/src/control/internal/holderside.h
+++ b/src/control/internal/holderside.h
@@ -28,6 +28,8 @@
   void onCatalogWord(std::function<void(catalog::Version)> NewTake) {
     this->TakeCatalogWord = std::move(NewTake);
   }
+  /// The catalog was the newest at this time.
+  void setCatalogProven(base::TimePoint At) { this->CatalogProvenAt = At; }
   /// The platform's list was read just now, changed or not.
   void onTargetsRead() { this->TargetsReadAt = this->Clock.now(); }
   /// Follows the lease; to be called whenever it may have changed.
@@ -94,6 +96,7 @@
   HeldBook Held;
   ListedBook Listed;
   std::optional<base::TimePoint> TargetsReadAt;
+  base::TimePoint CatalogProvenAt;
   asio::steady_timer PlanTimer;
   base::TimePoint NextPlanAt;
   bool PlanDue = false;
--- a/src/control/trafficport.h
+++ b/src/control/trafficport.h
@@ -16,6 +16,8 @@
 public:
   virtual ~TrafficPort() = default;
   virtual void setCatalog(catalog::CatalogPtr New) = 0;
+  /// The catalog was the newest at this time.
+  virtual void setCatalogProven(base::TimePoint At) = 0;
   virtual void setTargets(catalog::TargetListPtr New) = 0;
   virtual void setInstances(unsigned Count) = 0;
   virtual void
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -38,8 +38,8 @@
   /// An answer up to this size is held until it is whole, so that a cut one
   /// can be fetched again; larger ones are passed on as they arrive.
   std::size_t HoldBytes = 128U << 10U;
-  /// A target whose refusal, or one event of whose stream, is larger sends bytes
-  /// that are no answer.
+  /// A target whose refusal, or one event of whose stream, is larger sends
+  /// bytes that are no answer.
   std::size_t MaxPieceBytes = 256U << 10U;
   /// Bytes that a slow caller may leave unread before its target is held back.
   std::size_t UnsentBytes = 256U << 10U;
@@ -47,6 +47,9 @@
   /// many objectives (pause objectives within a stream) is sent elsewhere.
   double SilenceObjectives = 4;
   std::chrono::milliseconds LeastSilence{800};
+  /// Nobody is told that a route or key is not there by a catalog of which it
+  /// is not known that it was the newest within this time.
+  std::chrono::milliseconds CatalogProofFor{1800};
 };
 
 /// What the traffic side has counted since it was last asked.
@@ -75,6 +78,8 @@
   virtual void handle(http::Request Asked, http::ResponseWriterPtr Answer) = 0;
 
   virtual void setCatalog(catalog::CatalogPtr New) = 0;
+  /// The catalog was the newest at this time.
+  virtual void setCatalogProven(base::TimePoint At) = 0;
   virtual void setTargets(catalog::TargetListPtr New) = 0;
   virtual void setInstances(unsigned Count) = 0;
   virtual void setHeld(const catalog::HeldStates &Held,
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -93,7 +93,7 @@
   this->Route = this->Catalog->route(hostName(this->Asked.header("Host")),
                                      this->Asked.Path);
   if (this->Route == nullptr || this->Route->Services.empty()) {
-    this->refuse(NotFound, "no-route");
+    this->denyBy(NotFound, "no-route");
     return false;
   }
   if (!this->resolveAccount())
@@ -113,10 +113,21 @@
   this->Account = this->Catalog->accountOfSecret(this->Facts.Secret);
   if (this->Account != nullptr)
     return true;
-  this->refuse(Unauthorized, "unknown-key");
+  this->denyBy(Unauthorized, "unknown-key");
   return false;
 }
 
+void Exchange::denyBy(int Status, std::string_view Reason) {
+  const ForwarderSettings &Settings = this->Context.Settings;
+  bool Proven =
+      this->now() < this->Context.CatalogProvenAt + Settings.CatalogProofFor;
+  if (Proven)
+    this->refuse(Status, Reason);
+  else
+    this->refuse(Unavailable, "catalog-unproven",
+                 Settings.Waits.DefaultRetryAfter);
+}
+
 void Exchange::chooseService() {
   std::int64_t Whole = 0;
   for (const catalog::ServicePart &Each : this->Route->Services)
@@ -456,9 +467,9 @@
   }
   if (Said.Wait) {
     this->Context.Board.onAskedToWait(*this->Target, *Said.Wait, this->now());
-    this->log(base::LogLevel::Info, "target-wants-no-requests",
-              {{"target", this->Target->Value},
-               {"for_ms", Said.Wait->count()}});
+    this->log(
+        base::LogLevel::Info, "target-wants-no-requests",
+        {{"target", this->Target->Value}, {"for_ms", Said.Wait->count()}});
   }
 }
 
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -57,6 +57,9 @@
   base::TimePoint now() const { return this->Context.Clock.now(); }
   bool resolve();
   bool resolveAccount();
+  /// Tells the caller that a route or key is not there, unless the catalog that
+  /// says so may be out of date.
+  void denyBy(int Status, std::string_view Reason);
   void admit();
   void chooseService();
   void countUse();
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -52,6 +52,10 @@
     this->pump();
   }
 
+  void setCatalogProven(base::TimePoint At) override {
+    this->Context.CatalogProvenAt = At;
+  }
+
   void setTargets(catalog::TargetListPtr New) override {
     this->Context.Targets = New;
     this->Context.TargetsAt = this->Context.Clock.now();
--- a/src/forwarding/internal/trafficcontext.h
+++ b/src/forwarding/internal/trafficcontext.h
@@ -43,6 +43,8 @@
   std::unique_ptr<http::ForwardClient> Client;
   std::mt19937_64 Random;
   catalog::CatalogPtr Catalog;
+  /// When it was the newest for certain.
+  base::TimePoint CatalogProvenAt;
   catalog::TargetListPtr Targets;
   base::TimePoint TargetsAt;
 
--- a/src/forwarding/tests/forwardertest.cpp
+++ b/src/forwarding/tests/forwardertest.cpp
@@ -129,6 +129,7 @@
       New->AccountByKeyHash[catalog::keyHash("k")] = Account.Id;
     }
     this->Traffic->setCatalog(New);
+    this->Traffic->setCatalogProven(this->Clock.now());
     this->listTargets(2);
   }
 
@@ -368,14 +369,14 @@
 
 TEST_F(ForwarderTest, ATargetThatSaysItLeavesGetsNoFurtherRequest) {
   this->configure(catalog::Repetition::Idempotent);
-  this->bothAct([](const http::Request &Asked,
-                   const http::ResponseWriterPtr &Answer) {
-    Answer->respond({200,
-                     {{"Id", std::string(Asked.header("Id"))},
-                      {"Proof", "p"},
-                      {"Leaving", "1"}},
-                     "ok"});
-  });
+  this->bothAct(
+      [](const http::Request &Asked, const http::ResponseWriterPtr &Answer) {
+        Answer->respond({200,
+                         {{"Id", std::string(Asked.header("Id"))},
+                          {"Proof", "p"},
+                          {"Leaving", "1"}},
+                         "ok"});
+      });
   for (int Each = 0; Each < 2; ++Each) {
     this->ask();
     this->wait();
@@ -392,14 +393,14 @@
 /// caller is told when to come back.
 TEST_F(ForwarderTest, ATargetThatWantsNoRequestsGetsNoneAndCallersAreTold) {
   this->configure(catalog::Repetition::Idempotent);
-  this->bothAct([](const http::Request &Asked,
-                   const http::ResponseWriterPtr &Answer) {
-    Answer->respond({503,
-                     {{"Id", std::string(Asked.header("Id"))},
-                      {"Not-Run", "1"},
-                      {"Wait-Ms", "30000"}},
-                     ""});
-  });
+  this->bothAct(
+      [](const http::Request &Asked, const http::ResponseWriterPtr &Answer) {
+        Answer->respond({503,
+                         {{"Id", std::string(Asked.header("Id"))},
+                          {"Not-Run", "1"},
+                          {"Wait-Ms", "30000"}},
+                         ""});
+      });
   this->ask();
   this->wait();
   EXPECT_EQ(this->Got->Status, 503);
@@ -536,6 +537,26 @@
   EXPECT_EQ(this->arrivals(), 1U);
 }
 
+/// Load pattern: the store was away, and this instance has not heard yet what
+/// was changed meanwhile.
+TEST_F(ForwarderTest, NobodyIsDeniedByACatalogThatMayBeOutOfDate) {
+  this->Limit = 1000;
+  this->configure(catalog::Repetition::Never);
+  this->Traffic->setCatalogProven(this->Clock.now() - milliseconds(5000));
+  this->ask();
+  this->wait();
+  EXPECT_NE(this->Got->Status, 401);
+  this->Traffic->setCatalog(std::make_shared<catalog::Catalog>());
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 503);
+  EXPECT_NE(http::findHeader(this->Got->Headers, "Retry-After-Ms"), "");
+  this->Traffic->setCatalogProven(this->Clock.now());
+  this->ask();
+  this->wait();
+  EXPECT_EQ(this->Got->Status, 404);
+}
+
 TEST_F(ForwarderTest, AnUnknownKeyIsRefused) {
   this->Limit = 150;
   this->configure(catalog::Repetition::Never);
--- a/src/instance/internal/settings.cpp
+++ b/src/instance/internal/settings.cpp
@@ -65,6 +65,13 @@
   Out.Lease = Reader.millis("lease_ms", Out.Lease, ShortestLease, LongestLease);
   Out.UsageWindow = Reader.millis("usage_window_ms", Out.UsageWindow,
                                   ShortestWindow, LongestWindow);
+  // A change is in force when its caller's request has come in, some network
+  // time after it was sent.
+  constexpr milliseconds OnItsWay{200};
+  Out.CatalogProofFor =
+      Reader.millis("catalog_applies_within_ms", Out.CatalogProofFor + OnItsWay,
+                    ShortestWindow, LongestWindow) -
+      OnItsWay;
   Out.Level = base::parseLogLevel(
       Reader.oneOf("log_level", "info", {"debug", "info", "warn", "error"}));
   Reader.object("capacity", [&Out](base::SettingsReader &Nested) {
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -13,6 +13,7 @@
   Out.Board.Cold.Self = Options.Name;
   Out.Repeats = Options.Repeats;
   Out.Usage.Window = Options.UsageWindow;
+  Out.CatalogProofFor = Options.CatalogProofFor;
   return Out;
 }
 
@@ -87,6 +88,10 @@
   });
 }
 
+void TrafficThread::setCatalogProven(base::TimePoint At) {
+  asio::post(this->Loop, [this, At] { this->Forwarder->setCatalogProven(At); });
+}
+
 void TrafficThread::setTargets(catalog::TargetListPtr New) {
   asio::post(this->Loop, [this, New = std::move(New)] {
     this->Forwarder->setTargets(New);
--- a/src/instance/internal/trafficthread.h
+++ b/src/instance/internal/trafficthread.h
@@ -34,6 +34,7 @@
   std::size_t openRequests() const { return this->Forwarder->open(); }
 
   void setCatalog(catalog::CatalogPtr New) override;
+  void setCatalogProven(base::TimePoint At) override;
   void setTargets(catalog::TargetListPtr New) override;
   void setInstances(unsigned Count) override;
   void setHeld(catalog::HeldStatesPtr Held,
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -45,6 +45,9 @@
   /// How long the holder's lease lasts: short, as nobody gives orders between
   /// a holder's death and its end, and long against a slow answer of the store.
   std::chrono::milliseconds Lease{1800};
+  /// How long a catalog goes on to deny routes and keys after it was the newest
+  /// for certain: within the time in which a change has to be in force.
+  std::chrono::milliseconds CatalogProofFor{1800};
   /// The span over which accounts' limits hold.
   std::chrono::milliseconds UsageWindow{8000};
   base::LogLevel Level = base::LogLevel::Info;
