--- a/src/http/tests/forwardclienttest.cpp
+++ b/src/http/tests/forwardclienttest.cpp
@@ -146,8 +146,8 @@
   EXPECT_EQ(this->Result->End, ForwardEnd::Malformed);
 }
 
-/// A head may come without end: as one header, as a reason, or as heads that say
-/// that another one follows.
+/// A head may come without end: as one header, as a reason, or as heads that
+/// say that another one follows.
 TEST_F(ForwardClientTest, AHeadWithoutEndIsSaidToBeNone) {
   constexpr int Many = 20000;
   std::string Header = "HTTP/1.1 200 OK\r\n";
