--- a/bench/residencybench.cpp
+++ b/bench/residencybench.cpp
@@ -19,7 +19,6 @@
 constexpr double AdapterMb = 40;
 constexpr double EngineMb = 220000;
 constexpr unsigned AdapterSlots = 8;
-constexpr std::size_t ModelsHeld = 3;
 constexpr std::size_t Instances = 95;
 constexpr double StoreLoadsPerSecond = 10;
 constexpr milliseconds Tick{50};
--- a/src/http/tests/forwardclienttest.cpp
+++ b/src/http/tests/forwardclienttest.cpp
@@ -149,10 +149,10 @@
 /// A head may come without end: as one header, as a reason, or as heads that
 /// say that another one follows.
 TEST_F(ForwardClientTest, AHeadWithoutEndIsSaidToBeNone) {
-  constexpr int Many = 20000;
+  constexpr std::size_t Many = 20000;
   std::string Header = "HTTP/1.1 200 OK\r\n";
   std::string Interim;
-  for (int Each = 0; Each < Many; ++Each) {
+  for (std::size_t Each = 0; Each < Many; ++Each) {
     Header += "X-More: zzzz\r\n";
     Interim += "HTTP/1.1 103 Early\r\n\r\n";
   }
