Do not state the end of an answer that its target has not stated

Cause: a target may answer with neither a length nor chunks; then only the end of its connection ends the answer, and a crash may end it in order as well. The forwarding client reported such an end as Complete, and the exchange gave it to the caller with a last chunk, or with a length made from what had arrived.

Fix: the framing is handed from the target's head to the caller's answer as a type. Without a stated end, the caller's answer has none either; it ends with its connection, in order only if the target's has, and by a reset in every other case, also when the process is killed (SO_LINGER of 0 while it lasts). A stream that goes on at another target after its framing has been chosen is broken off where it would have to state an end that this target has not stated.

--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -483,12 +483,15 @@
     return;
   this->AnswerBegun = true;
   this->FirstByteAt = this->now();
+  this->CallerFraming = this->Head.Framing;
   // A resumable stream may continue with another target's bytes, so that its
   // length is not known.
-  bool SameLength = this->Route->Repeats != catalog::Repetition::Resumable;
+  if (this->Route->Repeats == catalog::Repetition::Resumable &&
+      this->Head.length())
+    this->CallerFraming = http::Chunks{};
   this->Answer->beginStream(this->Head.Status,
                             this->Context.Protocol.answerHeaders(this->Head),
-                            SameLength ? this->Head.length() : std::nullopt);
+                            this->CallerFraming);
   this->Answer->onSent([Weak = this->weak_from_this()] {
     if (auto Self = Weak.lock(); Self && Self->Call)
       Self->Call->resume();
@@ -575,12 +578,24 @@
     this->afterHeld();
     return;
   case AnswerState::Forwarded:
+    if (this->isEndUnproven()) {
+      this->endAttempt(dispatch::AttemptEnd::Broken);
+      this->afterFailedAttempt(true, "end-not-stated");
+      return;
+    }
     this->endAttempt(dispatch::AttemptEnd::Served);
     this->afterForwarded();
     return;
   }
 }
 
+/// Returns whether the caller's answer has to state an end that the target's
+/// has not stated. Only the continuation of a resumed stream can be so.
+bool Exchange::isEndUnproven() const {
+  return this->AnswerEnd == http::ForwardEnd::ConnectionEnded &&
+         !std::holds_alternative<http::UntilClose>(this->CallerFraming);
+}
+
 void Exchange::failAttempt(const char *Why) {
   this->cancelCall();
   this->endAttempt(dispatch::AttemptEnd::Broken);
@@ -659,12 +674,24 @@
     this->dispatch();
     return;
   }
-  this->Answer->respond({this->Head.Status,
-                         this->Context.Protocol.answerHeaders(this->Head),
-                         std::move(this->Held)});
+  this->deliverHeld();
   this->end(Failed ? "failed-by-target" : "answered", this->Head.Status, "");
 }
 
+/// Delivers a held answer, whose end is stated only if the target has stated
+/// it.
+void Exchange::deliverHeld() {
+  auto Headers = this->Context.Protocol.answerHeaders(this->Head);
+  if (this->AnswerEnd != http::ForwardEnd::ConnectionEnded) {
+    this->Answer->respond(
+        {this->Head.Status, std::move(Headers), std::move(this->Held)});
+    return;
+  }
+  this->Answer->beginStream(this->Head.Status, Headers, http::UntilClose{});
+  this->Answer->write(std::move(this->Held));
+  this->Answer->finish();
+}
+
 void Exchange::afterForwarded() {
   this->Target.reset();
   ++this->Runs;
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -92,11 +92,13 @@
   /// Cancels the call to the target, if there is one.
   void cancelCall();
   void beginForwarding();
+  bool isEndUnproven() const;
   void failAttempt(const char *Why);
   void endAttempt(dispatch::AttemptEnd How);
 
   void afterRefused();
   void afterHeld();
+  void deliverHeld();
   void afterForwarded();
   void afterFailedAttempt(bool MayHaveRun, const std::string &Why);
   bool mayRetry(unsigned RunsSoFar) const;
@@ -160,6 +162,8 @@
   std::size_t DiscardedBytes = 0;
   /// The head of an answer has been sent to the caller.
   bool AnswerBegun = false;
+  /// How the answer to the caller states its end, once it has begun.
+  http::BodyFraming CallerFraming;
   std::optional<base::TimePoint> FirstByteAt;
   EventFramer Events;
   asio::steady_timer Timer;
--- a/src/forwarding/tests/answerendtest.cpp
+++ b/src/forwarding/tests/answerendtest.cpp
@@ -133,6 +133,17 @@
   EXPECT_EQ(this->ask({inOrder(Unframed, event(1))}).End, Seen::EndNotStated);
 }
 
+TEST_F(AnswerEndTest, AResumedStreamStatesNoEndThatItsTargetHasNotStated) {
+  this->configure(catalog::Repetition::Resumable, true);
+  Understood Got = this->ask(
+      {inOrder(Chunked, chunk(event(1))), inOrder(Unframed, event(2))});
+  EXPECT_EQ(Got.End, Seen::BrokenOff);
+  EXPECT_EQ(Got.Body, event(1) + event(2));
+  Got = this->ask({inOrder(Unframed, event(1) + "id: 2"),
+                   inOrder(Chunked, chunk(event(2)) + LastChunk)});
+  EXPECT_NE(Got.End, Seen::Complete);
+}
+
 TEST_F(AnswerEndTest, AStreamThatEndsInsideAnEventIsBrokenOff) {
   std::string Torn = event(1) + "id: 2\nda";
   for (const auto &[Framing, Bytes] :
--- a/src/forwarding/tests/forwardertest.cpp
+++ b/src/forwarding/tests/forwardertest.cpp
@@ -190,7 +190,7 @@
   auto Endless = [](const http::Request &Asked,
                     const http::ResponseWriterPtr &Answer) {
     Answer->beginStream(
-        200, {{"Id", std::string(Asked.header("Id"))}, {"Proof", "p"}}, {});
+        200, {{"Id", std::string(Asked.header("Id"))}, {"Proof", "p"}});
     Answer->write("id: 1\ndata: x\n\n");
     writeOn(Answer, std::string(1U << 14U, 'z'));
   };
@@ -217,7 +217,7 @@
     if (this->arrivals() > 1)
       return respondWith(200)(Asked, Answer);
     Answer->beginStream(
-        503, {{"Id", std::string(Asked.header("Id"))}, {"Not-Run", "1"}}, {});
+        503, {{"Id", std::string(Asked.header("Id"))}, {"Not-Run", "1"}});
     writeOn(Answer, std::string(1U << 14U, 'z'));
   });
   this->sendRequest();
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -7,6 +7,7 @@
 /// one whose length is in doubt is answered 400 and ends its connection.
 
 #include "base/error.h"
+#include "http/bodyframing.h"
 #include "http/httpmessage.h"
 
 #include <asio/io_context.hpp>
@@ -14,7 +15,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace kingcuphub::http {
@@ -50,12 +50,13 @@
 public:
   virtual ~ResponseWriter() = default;
   virtual void respond(const Response &Whole) = 0;
-  /// Starts an answer that is written in pieces and sends its head; chunked
-  /// where its \p Length is not known.
+  /// Starts an answer that is written in pieces and sends its head. With
+  /// UntilClose, finish() ends the connection in order, and every other end of
+  /// it is a reset.
   virtual void beginStream(int Status, const std::vector<Header> &Headers,
-                           std::optional<std::uint64_t> Length) = 0;
+                           const BodyFraming &Framing) = 0;
   void beginStream(int Status, const std::vector<Header> &Headers) {
-    this->beginStream(Status, Headers, std::nullopt);
+    this->beginStream(Status, Headers, Chunks{});
   }
   virtual void write(std::string Chunk) = 0;
   virtual void finish() = 0;
--- a/src/http/internal/messageparser.cpp
+++ b/src/http/internal/messageparser.cpp
@@ -1,7 +1,6 @@
 #include "http/messageparser.h"
 
 #include "base/error.h"
-#include "base/visitor.h"
 
 #include <algorithm>
 #include <array>
@@ -282,15 +281,6 @@
   return Status < 200 || Status == 204 || Status == 304;
 }
 
-std::string_view framingName(const BodyFraming &Framing) {
-  return std::visit(
-      base::Visitor{[](const NoBody &) { return "none"; },
-                    [](const KnownLength &) { return "length"; },
-                    [](const Chunks &) { return "chunks"; },
-                    [](const UntilClose &) { return "connection"; }},
-      Framing);
-}
-
 std::string_view reasonOf(int Status) {
   switch (Status) {
 #define KCH_REASON(Code, Name, Text)                                           \
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -1,5 +1,7 @@
 #include "serverconnection.h"
 
+#include "base/visitor.h"
+
 #include <asio/post.hpp>
 #include <cstdio>
 #include <utility>
@@ -29,6 +31,20 @@
   return Out;
 }
 
+std::string framingHeader(const BodyFraming &Framing) {
+  return std::visit(
+      base::Visitor{[](const NoBody &) { return std::string(); },
+                    [](const KnownLength &Known) {
+                      return "Content-Length: " + std::to_string(Known.Bytes) +
+                             "\r\n";
+                    },
+                    [](const Chunks &) {
+                      return std::string("Transfer-Encoding: chunked\r\n");
+                    },
+                    [](const UntilClose &) { return std::string(); }},
+      Framing);
+}
+
 } // namespace
 
 /// The answer to the request that the connection has handed over.
@@ -57,16 +73,18 @@
   }
 
   void beginStream(int Status, const std::vector<Header> &Headers,
-                   std::optional<std::uint64_t> Length) override {
+                   const BodyFraming &Framing) override {
     if (this->Done || this->Begun)
       return;
     this->Begun = true;
-    this->Chunked = !Length && !isBodyless(Status);
+    BodyFraming Used = Framing;
+    if (isBodyless(Status))
+      Used = NoBody{};
+    this->Chunked = std::holds_alternative<Chunks>(Used);
+    if (std::holds_alternative<UntilClose>(Used) && !this->HeadOnly)
+      this->Connection->endByReset();
     std::string Bytes = headOf(Status, Headers, this->keepAlive());
-    if (this->Chunked)
-      Bytes += "Transfer-Encoding: chunked\r\n";
-    else if (Length)
-      Bytes += "Content-Length: " + std::to_string(*Length) + "\r\n";
+    Bytes += framingHeader(Used);
     Bytes += "\r\n";
     this->Connection->send(std::move(Bytes));
   }
@@ -292,8 +310,17 @@
     this->Writer.send(std::move(Bytes));
 }
 
+void ServerConnection::endByReset() {
+  this->KeepAlive = false;
+  asio::error_code Ignored;
+  // With this option the system resets the connection on every close, also
+  // when the process is killed.
+  this->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+}
+
 void ServerConnection::endSending() {
   asio::error_code Ignored;
+  this->Socket.set_option(asio::socket_base::linger(false, 0), Ignored);
   // A peer that has gone already needs no end of stream.
   this->Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
 }
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -70,6 +70,8 @@
 
   // Called by the answer.
   void send(std::string Bytes);
+  /// Until endSending(), the connection ends by a reset only.
+  void endByReset();
   void endSending();
   void onAllSent();
   void answerDone();
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -5,6 +5,7 @@
 /// Incremental parsing of HTTP/1.1 messages (Node's http-parser) for
 /// connections that pass bytes on as they arrive. No I/O.
 
+#include "http/bodyframing.h"
 #include "http/httpmessage.h"
 
 #include <cstddef>
@@ -15,7 +16,6 @@
 #include <string>
 #include <string_view>
 #include <system_error>
-#include <variant>
 #include <vector>
 
 namespace kingcuphub::http {
@@ -31,20 +31,6 @@
 };
 std::error_code make_error_code(ParseErrc Kind);
 
-/// The message has no body.
-struct NoBody {};
-struct KnownLength {
-  std::uint64_t Bytes = 0;
-};
-struct Chunks {};
-/// The response states no end and lasts until its connection ends.
-struct UntilClose {};
-/// How a message states where its body ends.
-using BodyFraming = std::variant<NoBody, KnownLength, Chunks, UntilClose>;
-
-/// As in a log line: `none`, `length`, `chunks` or `connection`.
-std::string_view framingName(const BodyFraming &Framing);
-
 /// Everything before a message's body.
 struct MessageHead {
   /// Of a request.
--- a/src/http/tests/forwardclienttest.cpp
+++ b/src/http/tests/forwardclienttest.cpp
@@ -139,6 +139,32 @@
   EXPECT_EQ(this->Result->End, ForwardEnd::Cut);
 }
 
+TEST_F(ForwardClientTest, AnAnswerWithoutStatedEndIsNotSaidToBeComplete) {
+  this->ask();
+  this->answer(0, "HTTP/1.1 200 OK\r\n\r\nok");
+  this->Accepted[0]->close();
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  EXPECT_EQ(this->Result->End, ForwardEnd::ConnectionEnded);
+  EXPECT_EQ(this->Body, "ok");
+}
+
+TEST_F(ForwardClientTest, AnAnswerThatIsResetIsCut) {
+  for (bool Paused : {false, true}) {
+    std::size_t Index = this->Accepted.size();
+    this->Body.clear();
+    auto Call = this->ask();
+    this->answer(Index, "HTTP/1.1 200 OK\r\n\r\nok");
+    ASSERT_TRUE(this->runUntil([this] { return this->Body == "ok"; }));
+    if (Paused)
+      Call->pause();
+    this->Accepted[Index]->set_option(asio::socket_base::linger(true, 0));
+    this->Accepted[Index]->close();
+    Call->resume();
+    ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+    EXPECT_EQ(this->Result->End, ForwardEnd::Cut) << Paused;
+  }
+}
+
 TEST_F(ForwardClientTest, BytesThatAreNoAnswerAreSaidSo) {
   this->ask();
   this->answer(0, "nonsense\r\n\r\n");
--- a/src/http/tests/httptest.cpp
+++ b/src/http/tests/httptest.cpp
@@ -1,3 +1,4 @@
+#include "common/rawconnection.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
 
@@ -5,6 +6,7 @@
 #include <gtest/gtest.h>
 
 using namespace kingcuphub::http;
+using kingcuphub::standin::RawCaller;
 
 namespace {
 
@@ -109,6 +111,32 @@
   EXPECT_EQ(Data, "part");
 }
 
+TEST_F(HttpTest, AnAnswerWithoutStatedEndEndsInOrderOnlyIfItIsFinished) {
+  ResponseWriterPtr Kept;
+  this->serve([&Kept](Request, ResponseWriterPtr Answer) {
+    Answer->beginStream(200, {}, UntilClose{});
+    Answer->write("part");
+    Kept = std::move(Answer);
+  });
+  const std::vector<std::pair<std::function<void()>, RawCaller::Ending>> Ways =
+      {{[&Kept] { Kept->finish(); }, RawCaller::Ending::InOrder},
+       {[&Kept] { Kept->abort(); }, RawCaller::Ending::Reset},
+       {[&Kept] { Kept.reset(); }, RawCaller::Ending::Reset},
+       {[this] { this->Server->close(); }, RawCaller::Ending::Reset}};
+  for (const auto &[End, Expected] : Ways) {
+    RawCaller Caller(this->Loop, this->Server->port());
+    Caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_TRUE(this->runUntil([&] { return Caller.body() == "part"; }));
+    EXPECT_EQ(Caller.head().find("Content-Length"), std::string::npos);
+    EXPECT_EQ(Caller.head().find("Transfer-Encoding"), std::string::npos);
+    EXPECT_NE(Caller.head().find("Connection: close"), std::string::npos);
+    End();
+    ASSERT_TRUE(this->runUntil(
+        [&] { return Caller.ending() != RawCaller::Ending::Open; }));
+    EXPECT_EQ(Caller.ending(), Expected);
+  }
+}
+
 TEST_F(HttpTest, ACallerThatGoesIsNoticedBeforeAnyAnswer) {
   ResponseWriterPtr Kept;
   bool Gone = false;
