Treat a stream that ends inside an event as broken off

Cause: whatever was left of an incomplete event was written out and followed by the last chunk. The end of a connection, and also a last chunk or a length that a target in trouble still sends, were proof enough.

Fix: a scanner finds the ends of events (LF, CR or both; comments are no part of an event), and whole events only are forwarded on every streaming route, so that the caller's answer can't come to its length either. A stream that ends inside an event goes the way of a cut: it is resumed where it may be, and else visibly broken off.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -39,9 +39,10 @@
   /// it is complete, so that the request can be retried if the answer is
   /// truncated. Larger ones are forwarded as they arrive.
   std::size_t MaxHeldBytes = 128U << 10U;
-  /// Largest body of a refusal that is read, and largest single event of a
-  /// resumable stream. The call is cancelled if a target sends more; an
-  /// oversized event also fails the attempt.
+  /// Largest body of a refusal that is read, and largest single event that is
+  /// kept until it is complete. The call is cancelled if a refusal or an event
+  /// of a resumable stream is larger, which also fails the attempt; a larger
+  /// event of another stream is forwarded in pieces.
   std::size_t MaxPieceBytes = 256U << 10U;
   /// Bytes that may be buffered for a slow caller before reading from its
   /// target is paused.
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -391,6 +391,7 @@
   this->State = AnswerState::NoAnswer;
   this->Held.clear();
   this->DiscardedBytes = 0;
+  this->Events.discardIncomplete();
   unsigned Current = ++this->Attempt;
   http::Peer Peer;
   Peer.Name = To.Value + "/" + std::to_string(Listed->Entry.Lifetime.Value) +
@@ -512,22 +513,42 @@
     this->Held.append(Bytes);
     if (this->Held.size() > this->Context.Settings.MaxHeldBytes) {
       this->beginForwarding();
-      this->forward(std::exchange(this->Held, {}));
+      this->forwardPiece(std::exchange(this->Held, {}));
     }
     return;
   case AnswerState::Forwarded:
-    if (this->Route->Repeats == catalog::Repetition::Resumable)
-      this->forwardEvents(Bytes);
-    else
-      this->forward(std::string(Bytes));
+    this->forwardPiece(Bytes);
     return;
   }
 }
 
-void Exchange::forwardEvents(std::string_view Bytes) {
+/// Forwards whole events only, so that a stream that breaks off is not complete
+/// in any framing, and can be resumed.
+void Exchange::forwardPiece(std::string_view Bytes) {
+  if (!this->isEventStream()) {
+    this->forward(std::string(Bytes));
+    return;
+  }
   this->forward(this->Events.feed(Bytes));
-  if (this->Events.incomplete().size() > this->Context.Settings.MaxPieceBytes)
+  if (this->Events.incomplete().size() <= this->Context.Settings.MaxPieceBytes)
+    return;
+  if (this->Route->Repeats == catalog::Repetition::Resumable)
     this->failAttempt("event-too-large");
+  else
+    this->forward(this->Events.takeIncomplete());
+}
+
+/// Returns whether the answer is a server-sent event stream; on a streaming
+/// route it need not say so.
+bool Exchange::isEventStream() const {
+  if (!isSuccess(this->Head.Status))
+    return false;
+  std::string_view Type = this->Head.header("Content-Type");
+  Type = Type.substr(0, Type.find(';'));
+  while (!Type.empty() && Type.back() == ' ')
+    Type.remove_suffix(1);
+  return Type.empty() ? this->Route->Streaming
+                      : http::equalNames(Type, "text/event-stream");
 }
 
 void Exchange::cancelCall() {
@@ -562,6 +583,11 @@
     this->afterFailedAttempt(Result.MayHaveBeenSent, Result.Detail);
     return;
   }
+  if (const char *Fault = this->endFault()) {
+    this->endAttempt(dispatch::AttemptEnd::Broken);
+    this->afterFailedAttempt(true, Fault);
+    return;
+  }
   switch (this->State) {
   case AnswerState::NoAnswer:
     this->endAttempt(dispatch::AttemptEnd::Broken);
@@ -578,22 +604,27 @@
     this->afterHeld();
     return;
   case AnswerState::Forwarded:
-    if (this->isEndUnproven()) {
-      this->endAttempt(dispatch::AttemptEnd::Broken);
-      this->afterFailedAttempt(true, "end-not-stated");
-      return;
-    }
     this->endAttempt(dispatch::AttemptEnd::Served);
     this->afterForwarded();
     return;
   }
 }
 
-/// Returns whether the caller's answer has to state an end that the target's
-/// has not stated. Only the continuation of a resumed stream can be so.
-bool Exchange::isEndUnproven() const {
-  return this->AnswerEnd == http::ForwardEnd::ConnectionEnded &&
-         !std::holds_alternative<http::UntilClose>(this->CallerFraming);
+/// Why an answer that has ended is not to be passed on as an end; null if it
+/// is.
+const char *Exchange::endFault() {
+  if (this->State == AnswerState::Held && this->isEventStream())
+    this->Events.feed(this->Held);
+  if (this->Events.insideEvent())
+    return "ended-inside-event";
+  if (this->State != AnswerState::Forwarded)
+    return nullptr;
+  // The continuation of a resumed stream may be framed otherwise than its
+  // beginning, and the caller's answer can't be.
+  bool NotStated = this->AnswerEnd == http::ForwardEnd::ConnectionEnded;
+  bool MustState =
+      !std::holds_alternative<http::UntilClose>(this->CallerFraming);
+  return NotStated && MustState ? "end-not-stated" : nullptr;
 }
 
 void Exchange::failAttempt(const char *Why) {
@@ -709,10 +740,9 @@
              {"attempt", this->Attempt},
              {"may_have_run", MayHaveRun},
              {"framing", this->framingForLog()},
-             {"within_event", !this->Events.incomplete().empty()},
+             {"within_event", this->Events.insideEvent()},
              {"why", Why},
              {"after_ms", base::millisOf(this->now() - this->SentAt)}});
-  this->Events.discardIncomplete();
   if (!MayHaveRun && !this->AnswerBegun &&
       this->now() + MinAttemptTime < this->Deadline) {
     this->dispatch();
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -87,12 +87,13 @@
   void onData(std::string_view Bytes);
   void onDone(const http::ForwardResult &Result);
   void forward(std::string Bytes);
-  void forwardEvents(std::string_view Bytes);
+  void forwardPiece(std::string_view Bytes);
+  bool isEventStream() const;
   void cancelRefusal();
   /// Cancels the call to the target, if there is one.
   void cancelCall();
   void beginForwarding();
-  bool isEndUnproven() const;
+  const char *endFault();
   void failAttempt(const char *Why);
   void endAttempt(dispatch::AttemptEnd How);
 
--- a/src/forwarding/tests/forwardertest.cpp
+++ b/src/forwarding/tests/forwardertest.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hashing.h"
 #include "forwarding/eventframer.h"
+#include "forwarding/eventscanner.h"
 
 #include <asio/steady_timer.hpp>
 #include <rapidcheck/gtest.h>
@@ -333,7 +334,8 @@
 RC_GTEST_PROP(EventFramerTest, CompleteEventsAreIndependentOfChunkBoundaries,
               ()) {
   const std::string Stream =
-      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid:3\ndata: c\n\nid: 4\nda";
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\rid:3\rdata: c\r\r"
+      "id: 4\nda";
   EventFramer Framer;
   std::string Out;
   for (std::size_t At = 0; At < Stream.size();) {
@@ -344,4 +346,21 @@
   RC_ASSERT(Out + Framer.incomplete() == Stream);
   RC_ASSERT(Framer.incomplete() == "id: 4\nda");
   RC_ASSERT(Framer.lastId() == "3");
+  RC_ASSERT(Framer.insideEvent());
+}
+
+TEST(EventScannerTest, ACommentOrAnEmptyLineIsNoPartOfAnEvent) {
+  for (std::string_view Outside :
+       {"", "\n", ": ping", ": ping\n", "data: a\n\n", "data: a\r\r",
+        "data: a\r\n\r\n", "data: a\n\r\n", "data: a\n: ping\n\n"}) {
+    EventScanner Scanner;
+    Scanner.scan(Outside);
+    EXPECT_FALSE(Scanner.insideEvent()) << Outside;
+  }
+  for (std::string_view Inside : {"d", "data: a", "data: a\n", "data: a\r\n",
+                                  "data: a\n\nid: 2\n", "data: a\n: ping\n"}) {
+    EventScanner Scanner;
+    Scanner.scan(Inside);
+    EXPECT_TRUE(Scanner.insideEvent()) << Inside;
+  }
 }
