Do not send a second answer behind one that was cut

Cause: a retry was allowed by the kind of route alone, also once the caller had a part of the answer. Only an event stream of a resumable route can go on there.

Fix: once an answer has begun, it is retried only if it is resumable, which is decided when it begins; else it is broken off.

--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -448,7 +448,7 @@
     this->failAttempt("unproven-answer");
     return;
   }
-  if (this->AnswerBegun && !Success) {
+  if (this->AnswerBegun && !this->isEventStream()) {
     this->failAttempt("resumption-failed");
     return;
   }
@@ -484,11 +484,13 @@
     return;
   this->AnswerBegun = true;
   this->FirstByteAt = this->now();
+  this->AnswerResumable =
+      this->Route->Repeats == catalog::Repetition::Resumable &&
+      this->isEventStream();
   this->CallerFraming = this->Head.Framing;
   // A resumable stream may continue with another target's bytes, so that its
   // length is not known.
-  if (this->Route->Repeats == catalog::Repetition::Resumable &&
-      this->Head.length())
+  if (this->AnswerResumable && this->Head.length())
     this->CallerFraming = http::Chunks{};
   this->Answer->beginStream(this->Head.Status,
                             this->Context.Protocol.answerHeaders(this->Head),
@@ -532,7 +534,7 @@
   this->forward(this->Events.feed(Bytes));
   if (this->Events.incomplete().size() <= this->Context.Settings.MaxPieceBytes)
     return;
-  if (this->Route->Repeats == catalog::Repetition::Resumable)
+  if (this->AnswerResumable)
     this->failAttempt("event-too-large");
   else
     this->forward(this->Events.takeIncomplete());
@@ -643,8 +645,10 @@
 // --- After an attempt ------------------------------------------------------
 
 bool Exchange::mayRetry(unsigned RunsSoFar) const {
-  return this->Route->Repeats != catalog::Repetition::Never &&
-         RunsSoFar < this->Route->MaxAttempts &&
+  bool Allowed = this->AnswerBegun
+                     ? this->AnswerResumable
+                     : this->Route->Repeats != catalog::Repetition::Never;
+  return Allowed && RunsSoFar < this->Route->MaxAttempts &&
          this->now() + MinAttemptTime < this->Deadline;
 }
 
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -163,6 +163,8 @@
   std::size_t DiscardedBytes = 0;
   /// The head of an answer has been sent to the caller.
   bool AnswerBegun = false;
+  /// Another target can go on behind the part that has been sent.
+  bool AnswerResumable = false;
   /// How the answer to the caller states its end, once it has begun.
   http::BodyFraming CallerFraming;
   std::optional<base::TimePoint> FirstByteAt;
