gateway: pass on an answer without stated end as such, and do not store it

AtMostOnceTest.AnAnswerWithoutStatedEndIsNeitherStatedNorStoredAsWhole failed before: the answer had a length and the stored outcome was empty.

The HTTP client tells what has ended a body, a response carries it, and the server states no end for it. A keyed result that may be cut is stored as unknown. Model answers prove their end themselves (usage and [DONE]); the store feeds read JSON or pages whose cut records are read again.

--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -709,24 +709,15 @@
     this->dispatch();
     return;
   }
-  this->deliverHeld();
+  http::Response Whole{this->Head.Status,
+                       this->Context.Protocol.answerHeaders(this->Head),
+                       std::move(this->Held)};
+  if (this->AnswerEnd == http::ForwardEnd::ConnectionEnded)
+    Whole.EndedBy = http::BodyEnd::Connection;
+  this->Answer->respond(Whole);
   this->end(Failed ? "failed-by-target" : "answered", this->Head.Status, "");
 }
 
-/// Delivers a held answer, whose end is stated only if the target has stated
-/// it.
-void Exchange::deliverHeld() {
-  auto Headers = this->Context.Protocol.answerHeaders(this->Head);
-  if (this->AnswerEnd != http::ForwardEnd::ConnectionEnded) {
-    this->Answer->respond(
-        {this->Head.Status, std::move(Headers), std::move(this->Held)});
-    return;
-  }
-  this->Answer->beginStream(this->Head.Status, Headers, http::UntilClose{});
-  this->Answer->write(std::move(this->Held));
-  this->Answer->finish();
-}
-
 void Exchange::afterForwarded() {
   this->Target.reset();
   ++this->Runs;
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -99,7 +99,6 @@
 
   void afterRefused();
   void afterHeld();
-  void deliverHeld();
   void afterForwarded();
   void afterFailedAttempt(bool MayHaveRun, const std::string &Why);
   bool mayRetry(unsigned RunsSoFar) const;
--- a/src/gateway/internal/serviceexchange.cpp
+++ b/src/gateway/internal/serviceexchange.cpp
@@ -151,9 +151,11 @@
       Self->onData(Attempt, Bytes);
   };
   Out.OnDone = [Weak, Attempt](const http::TransferResult &Result) {
-    if (auto Self = Weak.lock())
+    if (auto Self = Weak.lock()) {
+      Self->Collected.EndedBy = Result.EndedBy;
       Self->onDone(Attempt, {Result.End == http::TransferEnd::Complete,
                              Result.MayHaveBeenSent});
+    }
   };
   return Out;
 }
@@ -193,7 +195,12 @@
 void ServiceExchange::carryOut(delivery::DeliverResponse &Deliver) {
   http::Response &Whole = Deliver.Whole;
   std::string Type(http::findHeader(Whole.Headers, "Content-Type"));
-  this->Admission.record({Whole.Status, Type, Whole.Body, std::nullopt});
+  if (Whole.EndedBy == http::BodyEnd::Stated)
+    this->Admission.record({Whole.Status, Type, Whole.Body, std::nullopt});
+  else
+    // It may be cut, and a stored answer is given again as a whole one.
+    this->recordFailure(failureRefusal(
+        {delivery::CallFailure::Cut, delivery::Outcome::Unknown}));
   std::erase_if(Whole.Headers, [](const http::Header &Each) {
     return isConnectionHeader(Each.Name);
   });
@@ -213,9 +220,13 @@
 
 void ServiceExchange::carryOut(const delivery::FailCall &Failure) {
   Refusal Why = failureRefusal(Failure);
+  this->recordFailure(Why);
+  this->refuse(Why);
+}
+
+void ServiceExchange::recordFailure(const Refusal &Why) {
   this->Admission.record(
       {Why.Status, "application/json", errorBody(Why), Why.Known});
-  this->refuse(Why);
 }
 
 void ServiceExchange::refuse(const Refusal &Why) {
--- a/src/gateway/internal/serviceexchange.h
+++ b/src/gateway/internal/serviceexchange.h
@@ -44,6 +44,7 @@
   void endAttempt(routing::RequestEnd How);
   void deliverStored(const delivery::StoredAnswer &Stored);
   void refuse(const Refusal &Why);
+  void recordFailure(const Refusal &Why);
   void finish(RequestResult Result, std::string_view How);
 
   TrafficContext &Context;
--- a/src/gateway/tests/atmostoncetest.cpp
+++ b/src/gateway/tests/atmostoncetest.cpp
@@ -97,6 +97,18 @@
   EXPECT_EQ(this->Agent->Results[0].outcome(), "unknown");
 }
 
+TEST_F(AtMostOnceTest,
+       AnAnswerWithoutStatedEndIsNeitherStatedNorStoredAsWhole) {
+  this->Service->Unframed = true;
+  this->startGateway();
+  Got Whole = this->call(this->service("/dispatch/1", "order-1"));
+  EXPECT_EQ(Whole.Answer.Status, 200);
+  EXPECT_EQ(Whole.json()["executions"], 1);
+  EXPECT_EQ(Whole.Answer.EndedBy, http::BodyEnd::Connection);
+  ASSERT_TRUE(this->runUntil([this] { return !this->Agent->Results.empty(); }));
+  EXPECT_EQ(this->Agent->Results[0].outcome(), "unknown");
+}
+
 TEST_F(AtMostOnceTest, AKeptConnectionThatClosesDoesNotRepeatTheCall) {
   this->startGateway();
   // The first call leaves a kept connection behind.
--- a/src/gateway/tests/fakes.cpp
+++ b/src/gateway/tests/fakes.cpp
@@ -241,7 +241,10 @@
           Answer->abort();
         } else {
           Json Body = {{"executions", this->Calls.size()}};
-          Answer->respond(http::jsonResponse(this->Status, Body.dump()));
+          http::Response Whole = http::jsonResponse(this->Status, Body.dump());
+          if (this->Unframed)
+            Whole.EndedBy = http::BodyEnd::Connection;
+          Answer->respond(Whole);
         }
       }));
 }
--- a/src/gateway/tests/fakes.h
+++ b/src/gateway/tests/fakes.h
@@ -144,6 +144,8 @@
   int LoseAnswers = 0;
   /// Executes, then never answers.
   bool Silent = false;
+  /// Answers with neither a length nor chunks.
+  bool Unframed = false;
   void stop() { this->Server.reset(); }
 
 private:
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -41,11 +41,20 @@
   std::string parameter(std::string_view Name) const;
 };
 
+/// What has ended a body.
+enum class BodyEnd {
+  /// The length or the last chunk of the message, or it has no body.
+  Stated,
+  /// Only the end of its connection, so that it may be cut.
+  Connection,
+};
+
 /// A whole response.
 struct Response {
   int Status = 200;
   std::vector<Header> Headers;
   std::string Body;
+  BodyEnd EndedBy = BodyEnd::Stated;
 };
 
 /// A response with a JSON body.
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "http/httpclient.h"
 
+#include "http/messageparser.h"
+
 #include <algorithm>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
@@ -62,6 +64,12 @@
   bool Writing = false;
 };
 
+bool hasStatedEnd(const Transfer &Of, int Status) {
+  return Of.Request.Method == "HEAD" || isBodyless(Status) ||
+         !findHeader(Of.Head, "Content-Length").empty() ||
+         !findHeader(Of.Head, "Transfer-Encoding").empty();
+}
+
 TransferEnd endOf(CURLcode Code) {
   switch (Code) {
   case CURLE_OK:
@@ -355,6 +363,8 @@
     curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Status);
     curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &Sent);
     Result.Status = static_cast<int>(Status);
+    if (Status != 0 && !hasStatedEnd(*Done, Result.Status))
+      Result.EndedBy = BodyEnd::Connection;
     Result.MayHaveBeenSent = Sent > 0 && Code != CURLE_COULDNT_CONNECT;
     Result.Detail = curl_easy_strerror(Code);
     curl_multi_remove_handle(this->Multi, Easy);
@@ -388,6 +398,7 @@
   Callbacks.OnData = [Whole](std::string_view Data) { Whole->Body += Data; };
   Callbacks.OnDone = [Whole,
                       Done = std::move(Done)](const TransferResult &Result) {
+    Whole->EndedBy = Result.EndedBy;
     Done(Result, std::move(*Whole));
   };
   return this->start(std::move(Request), std::move(Callbacks));
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -62,6 +62,12 @@
   void respond(const Response &Whole) override {
     if (this->Done || this->Begun)
       return;
+    if (Whole.EndedBy == BodyEnd::Connection) {
+      this->beginStream(Whole.Status, Whole.Headers, UntilClose{});
+      this->write(Whole.Body);
+      this->finish();
+      return;
+    }
     std::string Bytes = headOf(Whole.Status, Whole.Headers, this->keepAlive());
     if (!isBodyless(Whole.Status))
       Bytes += "Content-Length: " + std::to_string(Whole.Body.size()) + "\r\n";
