http: answer HTTP/1.0 callers without chunks

A caller of HTTP/1.0 would see the sizes of the chunks as a part of its answer. HttpTest.ACallerOfHttp10GetsNoChunks failed before.

Such an answer states no end and ends with its connection, by a reset if it is broken off.

--- a/src/http/internal/messageparser.cpp
+++ b/src/http/internal/messageparser.cpp
@@ -203,6 +203,7 @@
       this->Head.Status = this->Raw.status_code;
     this->Head.KeepAlive = http_should_keep_alive(&this->Raw) != 0;
     this->Head.Framing = this->framing();
+    this->Head.KnowsChunks = this->Raw.http_minor > 0;
     this->Take.OnHead(std::move(this->Head));
     this->Head = {};
     return this->BodyExpected ? 0 : SkipBody;
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -86,6 +86,9 @@
     BodyFraming Used = Framing;
     if (isBodyless(Status))
       Used = NoBody{};
+    else if (std::holds_alternative<Chunks>(Used) &&
+             !this->Connection->KnowsChunks)
+      Used = UntilClose{};
     this->Chunked = std::holds_alternative<Chunks>(Used);
     if (std::holds_alternative<UntilClose>(Used) && !this->HeadOnly)
       this->Connection->endByReset();
@@ -267,6 +270,7 @@
 
 void ServerConnection::onHead(MessageHead Head) {
   this->KeepAlive = Head.KeepAlive;
+  this->KnowsChunks = Head.KnowsChunks;
   this->Incoming = {};
   this->Incoming.Method = std::move(Head.Method);
   std::size_t Question = Head.Target.find('?');
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -87,6 +87,7 @@
   std::string Backlog;
   Request Incoming;
   bool KeepAlive = true;
+  bool KnowsChunks = true;
   Phase At = Phase::Reading;
   /// When the phase, or the message that is being read, began.
   std::chrono::steady_clock::time_point Since;
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -43,6 +43,8 @@
   /// Whether the connection may carry another message.
   bool KeepAlive = true;
   BodyFraming Framing;
+  /// Whether the sender knows chunked bodies: HTTP/1.1, not 1.0.
+  bool KnowsChunks = true;
 
   /// The length that the message states for its body, if it states one.
   std::optional<std::uint64_t> length() const {
--- a/src/http/tests/httptest.cpp
+++ b/src/http/tests/httptest.cpp
@@ -137,6 +137,21 @@
   }
 }
 
+TEST_F(HttpTest, ACallerOfHttp10GetsNoChunks) {
+  this->serve([](Request, ResponseWriterPtr Answer) {
+    Answer->beginStream(200, {});
+    Answer->write("part");
+    Answer->finish();
+  });
+  RawCaller Caller(this->Loop, this->Server->port());
+  Caller.send("GET / HTTP/1.0\r\nHost: x\r\nConnection: keep-alive\r\n\r\n");
+  ASSERT_TRUE(this->runUntil(
+      [&] { return Caller.ending() != RawCaller::Ending::Open; }));
+  EXPECT_EQ(Caller.ending(), RawCaller::Ending::InOrder);
+  EXPECT_EQ(Caller.body(), "part");
+  EXPECT_EQ(Caller.head().find("Transfer-Encoding"), std::string::npos);
+}
+
 TEST_F(HttpTest, ACallerThatGoesIsNoticedBeforeAnyAnswer) {
   ResponseWriterPtr Kept;
   bool Gone = false;
