--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -401,7 +401,7 @@
   http::ForwardRequest Request{
       this->Asked.Method, this->Asked.Target,
       this->Context.Protocol.requestHeaders(this->Asked, this->sendFacts(Now)),
-      this->Body};
+      this->Body, this->RefusedOn};
   this->log(base::LogLevel::Info, "sent",
             {{"target", To.Value},
              {"attempt", Current},
@@ -433,7 +433,10 @@
   this->recordTargetState(Said);
   bool Unrun = Said.NotRun || Said.Misdirected;
   bool OwnId = Said.Id == this->Facts.Id;
-  if (!OwnId && !(Unrun && Said.Id.empty())) {
+  // Without an id, an answer on a kept connection may be a surplus one to an
+  // earlier request.
+  bool OnlyOwn = Said.Id.empty() && !this->Call->reused();
+  if (!OwnId && !(Unrun && OnlyOwn)) {
     this->failAttempt("crossed-answer");
     return;
   }
@@ -441,6 +444,7 @@
     this->Context.Selector.onStatedLoad(*this->Target, *Said.Load, this->now());
   if (Unrun) {
     this->State = AnswerState::Refused;
+    this->RefusedOn.insert(this->Call->connection());
     return;
   }
   bool Success = isSuccess(NewHead.Status);
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -143,6 +143,9 @@
   std::optional<base::TargetId> SelectedTarget;
 
   std::set<base::TargetId> TriedTargets;
+  /// Connections on which the request was refused. A target that writes a
+  /// refusal again would refuse the next attempt by it.
+  std::set<http::ConnectionId> RefusedOn;
   std::optional<base::TargetId> Target;
   std::shared_ptr<http::ForwardCall> Call;
   unsigned Attempt = 0;
--- a/src/forwarding/tests/forwarderfixture.h
+++ b/src/forwarding/tests/forwarderfixture.h
@@ -114,7 +114,7 @@
     Route.Streaming = Streaming;
     Route.MaxAttempts = 2;
     Route.Timeout = this->RouteTimeout;
-    Route.Objective = milliseconds(100);
+    Route.Objective = this->Objective;
     Route.PauseObjective = milliseconds(100);
     Route.Services = {{{"s"}, 1}};
     New->Routes = {Route};
@@ -145,6 +145,8 @@
       Target.Entry.Id = {"t" + std::to_string(Index)};
       Target.Entry.Service = {"s"};
       Target.Entry.Slots = 4;
+      if (!this->Model.empty())
+        Target.Entry.Models[{this->Model}] = {};
       Target.Entry.Address = {"127.0.0.1", this->targetPort(Index)};
       List.Targets[Target.Entry.Id] = Target;
     }
@@ -253,8 +255,11 @@
   std::vector<admission::CreditCommand> Credits;
   /// Small enough that a test's answers are over it.
   std::size_t HeldLimit = 8192;
+  /// Held by every target; requests of RawTargetTest name it.
+  std::string Model;
   double AccountRate = 0;
   milliseconds RouteTimeout{10000};
+  milliseconds Objective{100};
   int SentRequests = 0;
   std::optional<http::Response> Response;
   http::TransferEnd End = http::TransferEnd::Complete;
--- a/src/http/forwardclient.h
+++ b/src/http/forwardclient.h
@@ -11,9 +11,11 @@
 
 #include <asio/io_context.hpp>
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace kingcuphub::http {
@@ -27,11 +29,19 @@
   std::uint16_t Port = 0;
 };
 
+/// A connection of one client, new or kept.
+struct ConnectionId {
+  std::uint64_t Value = 0;
+  auto operator<=>(const ConnectionId &) const = default;
+};
+
 struct ForwardRequest {
   std::string Method;
   std::string Target;
   std::vector<Header> Headers;
   std::shared_ptr<const std::string> Body;
+  /// Kept connections that must not be used.
+  std::set<ConnectionId> Avoid;
 };
 
 enum class ForwardEnd {
@@ -75,6 +85,9 @@
   /// Stops reading until resume(), so that a slow reader holds the peer back.
   virtual void pause() = 0;
   virtual void resume() = 0;
+  virtual ConnectionId connection() const = 0;
+  /// Whether the connection had served another request before.
+  virtual bool reused() const = 0;
 };
 
 struct ForwardSettings {
--- a/src/http/internal/forwardclient.cpp
+++ b/src/http/internal/forwardclient.cpp
@@ -36,7 +36,7 @@
 
   std::shared_ptr<ForwardCall> start(const Peer &To, ForwardRequest Request,
                                      ForwardCallbacks Callbacks) override {
-    ConnectionPtr Connection = this->takeIdle(To.Name);
+    ConnectionPtr Connection = this->takeIdle(To.Name, Request.Avoid);
     if (Connection) {
       ++this->Counts.Reused;
     } else {
@@ -60,7 +60,7 @@
 private:
   ConnectionPtr makeConnection(const Peer &To) {
     auto New = std::make_shared<ForwardConnection>(
-        this->Loop, To, this->Settings,
+        this->Loop, ConnectionId{++this->LastId}, To, this->Settings,
         ForwardConnection::PoolHandlers{
             [this, Live = this->Alive](const ConnectionPtr &Which) {
               if (*Live)
@@ -75,19 +75,22 @@
   }
 
   /// The one that was used last, as it is the least likely to have ended.
-  ConnectionPtr takeIdle(const std::string &Name) {
+  ConnectionPtr takeIdle(const std::string &Name,
+                         const std::set<ConnectionId> &Avoid) {
+    this->closeExpired(Name);
     auto Found = this->Idle.find(Name);
     if (Found == this->Idle.end())
       return nullptr;
-    while (!Found->second.empty()) {
-      ConnectionPtr Last = Found->second.back();
-      if (Last->usable(SteadyClock::now())) {
-        Found->second.pop_back();
-        return Last;
-      }
-      Last->close();
-    }
-    return nullptr;
+    std::vector<ConnectionPtr> &Kept = Found->second;
+    auto Last = std::find_if(Kept.rbegin(), Kept.rend(),
+                             [&Avoid](const ConnectionPtr &Each) {
+                               return Avoid.count(Each->id()) == 0;
+                             });
+    if (Last == Kept.rend())
+      return nullptr;
+    ConnectionPtr Out = *Last;
+    Kept.erase(std::next(Last).base());
+    return Out;
   }
 
   void drop(const ConnectionPtr &Which) {
@@ -112,12 +115,22 @@
   }
 
   void closeExpired() {
+    std::vector<std::string> Names;
+    for (const auto &[Name, Kept] : this->Idle)
+      Names.push_back(Name);
+    for (const std::string &Name : Names)
+      this->closeExpired(Name);
+  }
+
+  void closeExpired(const std::string &Name) {
+    auto Found = this->Idle.find(Name);
+    if (Found == this->Idle.end())
+      return;
     auto Now = SteadyClock::now();
     std::vector<ConnectionPtr> Expired;
-    for (const auto &[Name, Kept] : this->Idle)
-      for (const ConnectionPtr &Each : Kept)
-        if (!Each->usable(Now))
-          Expired.push_back(Each);
+    for (const ConnectionPtr &Each : Found->second)
+      if (!Each->usable(Now))
+        Expired.push_back(Each);
     for (const ConnectionPtr &Each : Expired)
       Each->close();
   }
@@ -128,6 +141,7 @@
   std::vector<ConnectionPtr> Open;
   std::map<std::string, std::vector<ConnectionPtr>> Idle;
   ForwardCounts Counts;
+  std::uint64_t LastId = 0;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/src/http/internal/forwardconnection.cpp
+++ b/src/http/internal/forwardconnection.cpp
@@ -54,7 +54,8 @@
 class ForwardConnection::Call final : public ForwardCall {
 public:
   explicit Call(ForwardConnection &Connection)
-      : Connection(Connection.weak_from_this()), Number(Connection.Calls) {}
+      : Connection(Connection.weak_from_this()), Number(Connection.Calls),
+        Id(Connection.Id), Reused(Connection.Reused) {}
 
   void cancel() override {
     if (auto Alive = this->current())
@@ -75,6 +76,9 @@
       Alive->read();
   }
 
+  ConnectionId connection() const override { return this->Id; }
+  bool reused() const override { return this->Reused; }
+
 private:
   std::shared_ptr<ForwardConnection> current() const {
     auto Alive = this->Connection.lock();
@@ -86,12 +90,14 @@
 
   std::weak_ptr<ForwardConnection> Connection;
   std::uint64_t Number;
+  ConnectionId Id;
+  bool Reused;
 };
 
-ForwardConnection::ForwardConnection(asio::io_context &Loop, Peer NewTo,
-                                     ForwardSettings NewSettings,
+ForwardConnection::ForwardConnection(asio::io_context &Loop, ConnectionId Id,
+                                     Peer NewTo, ForwardSettings NewSettings,
                                      PoolHandlers NewPool)
-    : Socket(Loop), ConnectTimer(Loop), To(std::move(NewTo)),
+    : Socket(Loop), ConnectTimer(Loop), Id(Id), To(std::move(NewTo)),
       Settings(NewSettings), Pool(std::move(NewPool)),
       Parser(MessageKind::Response, NewSettings.MaxHeadBytes,
              {[this](MessageHead Head) { this->onHead(std::move(Head)); },
--- a/src/http/internal/forwardconnection.h
+++ b/src/http/internal/forwardconnection.h
@@ -25,11 +25,12 @@
     std::function<void(const std::shared_ptr<ForwardConnection> &)> OnClosed;
   };
 
-  ForwardConnection(asio::io_context &Loop, Peer To, ForwardSettings Settings,
-                    PoolHandlers Pool);
+  ForwardConnection(asio::io_context &Loop, ConnectionId Id, Peer To,
+                    ForwardSettings Settings, PoolHandlers Pool);
   ForwardConnection(const ForwardConnection &) = delete;
   ForwardConnection &operator=(const ForwardConnection &) = delete;
 
+  ConnectionId id() const { return this->Id; }
   const Peer &peer() const { return this->To; }
   /// Whether it may still be used again at this time.
   bool usable(std::chrono::steady_clock::time_point Now) const;
@@ -55,6 +56,7 @@
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer ConnectTimer;
+  ConnectionId Id;
   Peer To;
   ForwardSettings Settings;
   PoolHandlers Pool;
