--- a/standins/common/rawconnection.cpp
+++ b/standins/common/rawconnection.cpp
@@ -58,6 +58,8 @@
                                    asio::error_code Failed, std::size_t N) {
                                  if (Failed) {
                                    Self->PeerGone = true;
+                                   asio::error_code Ignored;
+                                   Self->Socket.close(Ignored);
                                    return;
                                  }
                                  Self->take({Self->Buffer.data(), N});
@@ -105,9 +107,16 @@
 }
 
 RawCaller::RawCaller(asio::io_context &Loop, std::uint16_t Port)
+    : RawCaller(Loop, loopback(Port)) {}
+
+RawCaller::RawCaller(asio::io_context &Loop, const tcp::endpoint &To)
     : Socket(std::make_shared<tcp::socket>(Loop)) {
-  this->Socket->connect(loopback(Port));
-  this->read();
+  asio::error_code Failed;
+  this->Socket->connect(To, Failed);
+  if (Failed)
+    this->Ended = Ending::Reset;
+  else
+    this->read();
 }
 
 RawCaller::~RawCaller() {
--- a/standins/common/rawconnection.h
+++ b/standins/common/rawconnection.h
@@ -82,6 +82,8 @@
   enum class Ending { Open, InOrder, Reset };
 
   RawCaller(asio::io_context &Loop, std::uint16_t Port);
+  /// One that can't connect has ended.
+  RawCaller(asio::io_context &Loop, const asio::ip::tcp::endpoint &To);
   RawCaller(const RawCaller &) = delete;
   RawCaller &operator=(const RawCaller &) = delete;
   ~RawCaller();
@@ -89,6 +91,8 @@
   void send(std::string_view Bytes);
   void close();
   const std::string &received() const { return this->Received; }
+  /// Forgets an answer that has been read.
+  void clear() { this->Received.clear(); }
   Ending ending() const { return this->Ended; }
   /// Everything up to the empty line; empty until it has arrived.
   std::string head() const;
