--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -51,12 +51,12 @@
   TransferEnd End = TransferEnd::Complete;
   /// 0 if no answer has begun.
   int Status = 0;
-  /// What has ended the body of a Complete transfer.
-  BodyEnd EndedBy = BodyEnd::Stated;
   /// True unless no byte of the request can have left.
   bool MayHaveBeenSent = false;
   /// libcurl's words, for the log.
   std::string Detail;
+  /// What has ended the body of a Complete transfer.
+  BodyEnd EndedBy = BodyEnd::Stated;
 };
 
 struct TransferId {
