Pass on an encoded stream as it is

The scan for events took a stream with a Content-Encoding for one that ends inside an event, and broke it off.

--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -545,9 +545,10 @@
 }
 
 /// Returns whether the answer is a server-sent event stream; on a streaming
-/// route it need not say so.
+/// route it need not say so. Events of an encoded stream can't be told apart.
 bool Exchange::isEventStream() const {
-  if (!isSuccess(this->Head.Status))
+  if (!isSuccess(this->Head.Status) ||
+      !this->Head.header("Content-Encoding").empty())
     return false;
   std::string_view Type = this->Head.header("Content-Type");
   Type = Type.substr(0, Type.find(';'));
--- a/src/forwarding/tests/answerendtest.cpp
+++ b/src/forwarding/tests/answerendtest.cpp
@@ -50,6 +50,18 @@
   }
 }
 
+TEST_F(AnswerEndTest, AStreamThatHasNoReadableEventsIsPassedOnAsItIs) {
+  for (const char *Header :
+       {"Content-Encoding: gzip\r\n", "Content-Type: application/json\r\n"}) {
+    this->configure(catalog::Repetition::Resumable, true);
+    std::string Bytes = "no event";
+    Understood Got =
+        this->ask({inOrder(Header + lengthHeader(Bytes.size()), Bytes)});
+    EXPECT_EQ(Got.End, Seen::Complete) << Header;
+    EXPECT_EQ(Got.Body, Bytes) << Header;
+  }
+}
+
 TEST_F(AnswerEndTest, ABegunAnswerIsNotFollowedByAnother) {
   this->configure(catalog::Repetition::Idempotent);
   std::string Large(this->HeldLimit + 1, 'a');
