forwarding: do not touch the forwarder's count after it has gone

The request, kept by a handler that is destroyed with the loop, counted itself out of the destroyed forwarder.

ForwarderTest.AnInstanceMayEndWithRequestsUnderWay failed before under the address sanitizer (heap-use-after-free in ~Exchange). The count of open requests is shared between forwarder and requests now.

--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -52,12 +52,12 @@
     : Context(Context), Asked(std::move(NewAsked)),
       Body(std::make_shared<const std::string>(std::move(this->Asked.Body))),
       Answer(std::move(NewAnswer)), ReceivedAt(Context.Clock.now()),
-      Deadline(this->ReceivedAt), Timer(Context.Loop) {
+      Deadline(this->ReceivedAt), Open(Context.Open), Timer(Context.Loop) {
   this->LocalId.Value = std::to_string(this->Context.NextLocalId++);
-  ++this->Context.Open;
+  ++*this->Open;
 }
 
-Exchange::~Exchange() { --this->Context.Open; }
+Exchange::~Exchange() { --*this->Open; }
 
 // --- Admission -------------------------------------------------------------
 
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -171,6 +171,7 @@
   http::BodyFraming CallerFraming;
   std::optional<base::TimePoint> FirstByteAt;
   EventFramer Events;
+  std::shared_ptr<std::atomic<std::size_t>> Open;
   asio::steady_timer Timer;
   bool Ended = false;
 };
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -110,7 +110,7 @@
 
   void refuseNew() override { this->Context.RefusesNew = true; }
 
-  std::size_t open() const override { return this->Context.Open; }
+  std::size_t open() const override { return *this->Context.Open; }
 
 private:
   /// Decides on requests that wait for tokens, and requests or returns credit.
--- a/src/forwarding/internal/trafficcontext.h
+++ b/src/forwarding/internal/trafficcontext.h
@@ -57,7 +57,10 @@
   std::map<std::pair<catalog::ServiceId, residency::Item>, residency::ItemUse>
       Use;
   std::uint64_t NextLocalId = 1;
-  std::atomic<std::size_t> Open = 0;
+  /// Requests under way. Shared with them, as handlers of the loop may keep
+  /// them after the forwarder has gone.
+  std::shared_ptr<std::atomic<std::size_t>> Open =
+      std::make_shared<std::atomic<std::size_t>>(0);
   bool RefusesNew = false;
 
   /// Set by the forwarder.
--- a/src/forwarding/tests/forwardertest.cpp
+++ b/src/forwarding/tests/forwardertest.cpp
@@ -315,6 +315,23 @@
   EXPECT_EQ(this->Response->Status, 404);
 }
 
+TEST_F(ForwarderTest, AnInstanceMayEndWithRequestsUnderWay) {
+  std::vector<http::ResponseWriterPtr> Kept;
+  this->configure(catalog::Repetition::Idempotent);
+  this->bothAct(
+      [&Kept](const http::Request &, const http::ResponseWriterPtr &To) {
+        Kept.push_back(To);
+      });
+  this->sendRequest();
+  auto Deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (this->arrivals() == 0 && std::chrono::steady_clock::now() < Deadline)
+    this->Loop.run_one_for(milliseconds(20));
+  ASSERT_EQ(this->arrivals(), 1U);
+  // As at the end of the process: no handler runs any more.
+  this->FrontServer.reset();
+  this->Traffic.reset();
+}
+
 TEST_F(ForwarderTest, AnUnknownKeyIsRefused) {
   this->AccountRate = 150;
   this->configure(catalog::Repetition::Never);
