--- a/src/forwarding/tests/rawtargetfixture.h
+++ b/src/forwarding/tests/rawtargetfixture.h
@@ -1,7 +1,8 @@
 #ifndef KINGCUPHUB_FORWARDING_TESTS_RAWTARGETFIXTURE_H
 #define KINGCUPHUB_FORWARDING_TESTS_RAWTARGETFIXTURE_H
 
-#include "common/rawconnection.h"
+#include "common/rawcaller.h"
+#include "common/rawserver.h"
 #include "forwarderfixture.h"
 
 namespace kingcuphub::forwarding {
--- a/src/http/tests/httptest.cpp
+++ b/src/http/tests/httptest.cpp
@@ -1,4 +1,4 @@
-#include "common/rawconnection.h"
+#include "common/rawcaller.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
 
--- /dev/null
+++ b/standins/common/rawserver.h
@@ -0,0 +1,39 @@
+#ifndef KINGCUPHUB_STANDINS_COMMON_RAWSERVER_H
+#define KINGCUPHUB_STANDINS_COMMON_RAWSERVER_H
+
+/// \file
+/// Accepts connections whose answers a test writes byte by byte.
+/// All calls and callbacks happen on the thread that runs the loop.
+
+#include "common/rawconnection.h"
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <set>
+
+namespace kingcuphub::standin {
+
+/// Hands each request that arrives to its handler, which writes the answer.
+class RawServer {
+public:
+  RawServer(asio::io_context &Loop, RawConnection::Handler Take);
+  RawServer(const RawServer &) = delete;
+  RawServer &operator=(const RawServer &) = delete;
+  ~RawServer();
+
+  std::uint16_t port() const;
+  /// Connections accepted so far.
+  unsigned accepted() const { return this->Accepted; }
+
+private:
+  void accept();
+
+  asio::ip::tcp::acceptor Listener;
+  RawConnection::Handler Take;
+  std::set<std::shared_ptr<RawConnection>> Connections;
+  unsigned Accepted = 0;
+};
+
+} // namespace kingcuphub::standin
+
+#endif // KINGCUPHUB_STANDINS_COMMON_RAWSERVER_H
