--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -399,6 +399,8 @@
       base::logEvent(
           base::LogLevel::Warn, "lease-not-appended",
           {{"at", Sent.At.Value},
+           {"token", Sent.Record.Token.Value},
+           {"release", Sent.Record.Released},
            {"outcome",
             Outcome == AppendResult::Unknown ? "unknown" : "refused"}});
       this->Lease.onNotAppended(Sent);
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -44,11 +44,16 @@
   auto Held = this->Lease.held(Now);
   if (Held == this->Token)
     return;
-  base::logEvent(
-      base::LogLevel::Info, Held ? "lease-gained" : "lease-lost",
-      {{"token", Held ? Held->Value : this->Token->Value},
-       {"engines", this->Holder.engines().views(Now).size()},
-       {"catalog", this->Catalog ? this->Catalog->Version.Value : 0}});
+  if (Held)
+    this->logGained(*Held, Now);
+  else
+    base::logEvent(
+        base::LogLevel::Info, "lease-lost",
+        {{"token", this->Token->Value},
+         {"why", residency::leaseLossName(this->Lease.lossReason())},
+         {"held_ms", base::millisOf(Now - this->HeldSince)},
+         {"engines", this->Holder.engines().views(Now).size()},
+         {"catalog", this->Catalog ? this->Catalog->Version.Value : 0}});
   this->Lost.reset();
   if (this->Token && !Held)
     this->Lost = LostLease{*this->Token, Now};
@@ -76,6 +81,21 @@
   this->Usage.start(Now);
 }
 
+void HolderRole::logGained(residency::FencingToken New,
+                           base::TimePoint Now) const {
+  const auto &Before = this->Lease.predecessor();
+  nlohmann::json Fields = {
+      {"token", New.Value},
+      {"previous", Before ? Before->Holder.Value : ""},
+      {"previous_token", Before ? Before->Token.Value : 0},
+      {"previous_released", Before && Before->Released},
+      {"engines", this->Holder.engines().views(Now).size()},
+      {"catalog", this->Catalog ? this->Catalog->Version.Value : 0}};
+  if (this->LastOrderAt)
+    Fields["own_order_ms_ago"] = base::millisOf(Now - *this->LastOrderAt);
+  base::logEvent(base::LogLevel::Info, "lease-gained", std::move(Fields));
+}
+
 void HolderRole::onRecord(const residency::LeaseRecord &Record) {
   if (Record.Holder != this->Settings.Self)
     this->InheritedInstances = Record.Instances;
@@ -417,7 +437,9 @@
                   {"adapter", What.What.Adapter.Value},
                   {"revision", What.ExpectedRevision},
                   {"token", What.Token.Value},
+                  {"lease_left_ms", this->Lease.timeLeft(SentAt).count()},
                   {"reason", Command.Reason}});
+  this->LastOrderAt = SentAt;
   this->Engines.order(
       *To, What, this->Settings.Self,
       [this, Live = this->Alive, What, SentAt](residency::OrderAnswer Answer) {
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -62,6 +62,7 @@
     std::chrono::milliseconds Handicap{0};
   };
 
+  void logGained(residency::FencingToken New, base::TimePoint Now) const;
   void onReport(const messaging::ClientName &From, std::string_view Bytes);
   void addEvidence(const wire::InstanceReport &Report);
   /// Decides on suspected parts of prompts and tells every instance what has
@@ -101,6 +102,8 @@
   std::unique_ptr<messaging::MessageServer> Server;
   std::optional<residency::FencingToken> Token;
   base::TimePoint HeldSince;
+  /// Of this instance, under any lease.
+  std::optional<base::TimePoint> LastOrderAt;
   unsigned InheritedInstances = 0;
   /// A lapsed lease that a late renewal may still restore.
   std::optional<LostLease> Lost;
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace kingcuphub::residency {
 
@@ -53,6 +54,23 @@
   std::chrono::milliseconds AppendTimeout{1000};
 };
 
+/// Why an instance does not hold the lease.
+enum class LeaseLoss {
+  /// No renewal was confirmed in time.
+  Lapsed,
+  /// Another record was appended after the instance's own.
+  Superseded,
+  /// An engine rejected the token.
+  Fenced,
+  /// Given up for good after it had lapsed.
+  GivenUp,
+  /// Given back: the instance yields, or stops.
+  Released,
+};
+
+/// As in a log line.
+std::string_view leaseLossName(LeaseLoss Why);
+
 /// A record to append on condition that the log still ends at \p At.
 struct LeaseAppend {
   LeaseRecord Record;
@@ -114,6 +132,12 @@
   void setState(std::string New);
   bool needsRead() const { return !this->End.has_value(); }
   const std::optional<LeaseRecord> &record() const { return this->Latest; }
+  /// Why the lease is not held; for the log.
+  LeaseLoss lossReason() const;
+  /// The record that this instance's latest claim followed, if any.
+  const std::optional<LeaseRecord> &predecessor() const {
+    return this->Predecessor;
+  }
 
 private:
   struct ReportedExpiry {
@@ -141,6 +165,7 @@
   HolderLeaseSettings Settings;
   std::mt19937_64 Random;
   std::optional<LeaseRecord> Latest;
+  std::optional<LeaseRecord> Predecessor;
   std::optional<LeaseLogEnd> End;
   base::TimePoint ChangedAt;
   std::optional<ReportedExpiry> HolderExpiry;
@@ -157,6 +182,7 @@
   bool Leaving = false;
   bool Fenced = false;
   bool Behind = false;
+  bool ReleaseSent = false;
 };
 
 } // namespace kingcuphub::residency
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -13,6 +13,22 @@
 
 } // namespace
 
+std::string_view leaseLossName(LeaseLoss Why) {
+  switch (Why) {
+  case LeaseLoss::Lapsed:
+    return "lapsed";
+  case LeaseLoss::Superseded:
+    return "superseded";
+  case LeaseLoss::Fenced:
+    return "fenced";
+  case LeaseLoss::GivenUp:
+    return "given-up";
+  case LeaseLoss::Released:
+    return "released";
+  }
+  return "";
+}
+
 HolderLease::HolderLease(base::InstanceId NewSelf,
                          base::Incarnation NewIncarnation,
                          std::string NewEndpoint,
@@ -74,6 +90,7 @@
   Out.Record.Token = this->claimedHere() ? this->Latest->Token
                                          : FencingToken{this->End->Value + 1};
   Out.Record.Released = Release;
+  this->ReleaseSent = Release;
   Out.Record.Endpoint = this->Endpoint;
   Out.Record.Instances = Instances;
   // A claim keeps what the previous holder left until it has been read.
@@ -81,6 +98,8 @@
     Out.Record.State = this->State;
   else if (this->Latest)
     Out.Record.State = this->Latest->State;
+  if (!this->claimedHere())
+    this->Predecessor = this->Latest;
   this->StateAppended = true;
   this->LastInstances = Instances;
   this->LastSentAt = Now;
@@ -190,6 +209,16 @@
   return this->append(true, this->LastInstances, Now);
 }
 
+LeaseLoss HolderLease::lossReason() const {
+  if (this->Fenced)
+    return LeaseLoss::Fenced;
+  if (this->ReleaseSent)
+    return LeaseLoss::Released;
+  if (this->isGivenUp())
+    return LeaseLoss::GivenUp;
+  return this->claimedHere() ? LeaseLoss::Lapsed : LeaseLoss::Superseded;
+}
+
 std::optional<FencingToken> HolderLease::held(base::TimePoint Now) const {
   if (this->Leaving || this->Fenced || !this->claimedHere() ||
       Now >= this->ValidUntil)
--- a/src/residency/tests/holderleasetest.cpp
+++ b/src/residency/tests/holderleasetest.cpp
@@ -137,6 +137,28 @@
   EXPECT_FALSE(Lease.held(Now + milliseconds(3000)));
 }
 
+TEST(HolderLeaseTest, TheReasonOfALossAndThePredecessorAreKnown) {
+  HolderLease Lease({"a"}, {1}, "", {}, 1);
+  base::TimePoint Now{std::chrono::hours(1)};
+  LeaseRecord Before;
+  Before.Holder = {"b"};
+  Before.Released = true;
+  Lease.onRead(Before, {5}, Now);
+  Now += milliseconds(600);
+  auto Claim = Lease.tick(1, Now);
+  ASSERT_TRUE(Claim);
+  Lease.onAppended(*Claim, Now);
+  ASSERT_TRUE(Lease.predecessor());
+  EXPECT_EQ(Lease.predecessor()->Holder.Value, "b");
+  EXPECT_EQ(Lease.lossReason(), LeaseLoss::Lapsed);
+  LeaseRecord After = Before;
+  After.Token = {7};
+  Lease.onRead(After, {7}, Now);
+  EXPECT_EQ(Lease.lossReason(), LeaseLoss::Superseded);
+  Lease.onFenced();
+  EXPECT_EQ(Lease.lossReason(), LeaseLoss::Fenced);
+}
+
 TEST(HolderLeaseTest, AReleasedLeaseIsClaimedSoon) {
   HolderLease Lease({"b"}, {1}, "", {}, 1);
   base::TimePoint Now{std::chrono::hours(1)};
