A simulation of every way in which a lease ends counts orders by turns

Each engine notes the orders as they arrive, with holder and token, and the platform's rule is judged on that: an instance orders, another does, and the first again within 3 s.

--- /dev/null
+++ b/src/residency/tests/holderturnstest.cpp
@@ -0,0 +1,404 @@
+#include "residency/holderlease.h"
+
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <ostream>
+
+using namespace kingcuphub;
+using namespace kingcuphub::residency;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// The platform's `lease_ms`: holders that alternate within it break its rule.
+constexpr milliseconds TurnBound{3000};
+/// Orders that arrive this soon after their sender was resumed are not judged.
+constexpr milliseconds ResumeSlack{300};
+constexpr milliseconds Tick{50};
+constexpr milliseconds RunLength{60000};
+constexpr milliseconds MaxOrderTransit{700};
+constexpr milliseconds TypicalOrderTransit{20};
+constexpr milliseconds GiveUpAfter{200};
+constexpr std::size_t EngineCount = 3;
+
+struct Disturbances {
+  /// The holder gives the lease back, as if it were behind schedule.
+  bool Yields = false;
+  /// The holder is stopped by a signal, and starts again.
+  bool Stops = false;
+  /// The holder is killed, and starts again.
+  bool Kills = false;
+  bool Freezes = false;
+  /// The holder is cut off from the store, so that its lease lapses.
+  bool StoreCuts = false;
+  /// The store executes some appends seconds later, and loses some answers.
+  bool LateAppends = false;
+  /// Some orders take as long as the HTTP client lets them.
+  bool SlowOrders = false;
+};
+
+struct Order {
+  std::size_t Engine = 0;
+  std::size_t Holder = 0;
+  FencingToken Token;
+  base::TimePoint SentAt;
+  base::TimePoint ArrivesAt;
+};
+
+/// What the platform judges: the orders of one engine, as they arrive.
+class TurnJudge {
+public:
+  void onOrder(std::size_t Holder, FencingToken Token, base::TimePoint Now) {
+    auto [Known, New] = this->HolderOf.try_emplace(Token, Holder);
+    this->SharedTokens += New || Known->second == Holder ? 0 : 1;
+    while (!this->Recent.empty() && Now - this->Recent.front().At >= TurnBound)
+      this->Recent.pop_front();
+    auto Other = std::find_if(
+        this->Recent.rbegin(), this->Recent.rend(),
+        [&](const Arrival &Each) { return Each.Holder != Holder; });
+    this->Turns +=
+        std::any_of(Other, this->Recent.rend(),
+                    [&](const Arrival &Each) { return Each.Holder == Holder; })
+            ? 1
+            : 0;
+    this->Recent.push_back({Holder, Now});
+  }
+
+  std::size_t Turns = 0;
+  std::size_t SharedTokens = 0;
+
+private:
+  struct Arrival {
+    std::size_t Holder;
+    base::TimePoint At;
+  };
+  std::deque<Arrival> Recent;
+  std::map<FencingToken, std::size_t> HolderOf;
+};
+
+/// Instances that share one lease, a store that accepts an append only at its
+/// end, and engines that note the orders that reach them.
+class TurnSimulation {
+public:
+  TurnSimulation(std::size_t Count, Disturbances What, std::uint64_t Seed)
+      : What(What), Random(Seed), Judges(EngineCount) {
+    this->Settings.Duration = milliseconds(1800);
+    this->Settings.RenewEvery = milliseconds(600);
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      this->Machines.emplace_back();
+      this->Machines.back().Handicap =
+          milliseconds(this->draw(2) == 0 ? 0 : this->draw(1000));
+      this->start(Index);
+    }
+  }
+
+  void run() {
+    for (auto End = this->Now + RunLength; this->Now < End; this->Now += Tick)
+      this->step();
+  }
+
+  std::size_t turns() const {
+    std::size_t Out = 0;
+    for (const TurnJudge &Each : this->Judges)
+      Out += Each.Turns;
+    return Out;
+  }
+  std::size_t sharedTokens() const {
+    std::size_t Out = 0;
+    for (const TurnJudge &Each : this->Judges)
+      Out += Each.SharedTokens;
+    return Out;
+  }
+  std::size_t Changes = 0;
+  std::size_t Ordering = 0;
+
+private:
+  struct Machine {
+    std::unique_ptr<HolderLease> Lease;
+    milliseconds Handicap{0};
+    std::uint64_t Incarnation = 0;
+    base::TimePoint DownUntil;
+    base::TimePoint FrozenUntil;
+    base::TimePoint StoreCutUntil;
+    /// When a stop by a signal ends the process.
+    std::optional<base::TimePoint> EndsAt;
+    std::optional<FencingToken> Held;
+    base::TimePoint HeldSince;
+    /// A lapsed lease that is given up for good at the time.
+    std::optional<std::pair<FencingToken, base::TimePoint>> Lost;
+  };
+  struct LateAppend {
+    LeaseAppend What;
+    base::TimePoint At;
+  };
+
+  std::uint64_t draw(std::uint64_t Below) { return this->Random() % Below; }
+  milliseconds between(std::uint64_t Least, std::uint64_t Most) {
+    return milliseconds(Least + this->draw(Most - Least + 1));
+  }
+
+  void start(std::size_t Index) {
+    Machine &Of = this->Machines[Index];
+    HolderLeaseSettings Own = this->Settings;
+    Own.Handicap = Of.Handicap;
+    Of.Lease = std::make_unique<HolderLease>(
+        base::InstanceId{std::to_string(Index)},
+        base::Incarnation{++Of.Incarnation}, std::to_string(Index), Own,
+        this->Random());
+    Of.Held.reset();
+    Of.Lost.reset();
+    Of.EndsAt.reset();
+  }
+
+  bool runs(const Machine &Of) const {
+    return this->Now >= Of.DownUntil && this->Now >= Of.FrozenUntil;
+  }
+
+  void step() {
+    this->executeLate();
+    for (std::size_t Index = 0; Index < this->Machines.size(); ++Index) {
+      Machine &Of = this->Machines[Index];
+      if (Of.EndsAt && this->Now >= *Of.EndsAt) {
+        Of.DownUntil = this->Now + this->between(50, 4000);
+        this->start(Index);
+      }
+      if (this->runs(Of))
+        this->act(Index);
+    }
+    this->disturb();
+    this->deliver();
+  }
+
+  void act(std::size_t Index) {
+    Machine &Of = this->Machines[Index];
+    bool Reachable = this->Now >= Of.StoreCutUntil;
+    if (Reachable && (Of.Lease->needsRead() || this->draw(3) == 0))
+      Of.Lease->onRead(this->Record, {this->End}, this->Now);
+    if (auto Append = Of.Lease->tick(1, this->Now))
+      this->append(Index, *Append);
+    this->noteLease(Index);
+    this->sendOrders(Index);
+  }
+
+  void append(std::size_t Index, const LeaseAppend &Sent) {
+    Machine &Of = this->Machines[Index];
+    bool Reachable = this->Now >= Of.StoreCutUntil;
+    if (Reachable && this->What.LateAppends && this->draw(4) == 0) {
+      this->Late.push_back({Sent, this->Now + this->between(100, 2500)});
+      Of.Lease->onNotAppended(Sent);
+    } else if (Reachable && this->execute(Sent) &&
+               !(this->What.LateAppends && this->draw(10) == 0)) {
+      Of.Lease->onAppended(Sent, this->Now);
+    } else {
+      Of.Lease->onNotAppended(Sent);
+    }
+    if (Sent.Record.Released) {
+      Of.Held.reset();
+      this->announce(Index, Sent.Record.Token);
+    }
+  }
+
+  bool execute(const LeaseAppend &Sent) {
+    if (Sent.At.Value != this->End)
+      return false;
+    this->Record = Sent.Record;
+    ++this->End;
+    return true;
+  }
+
+  void executeLate() {
+    for (auto Each = this->Late.begin(); Each != this->Late.end();) {
+      if (this->Now < Each->At) {
+        ++Each;
+        continue;
+      }
+      this->execute(Each->What);
+      Each = this->Late.erase(Each);
+    }
+  }
+
+  void noteLease(std::size_t Index) {
+    Machine &Of = this->Machines[Index];
+    auto Held = Of.Lease->held(this->Now);
+    if (Held != Of.Held) {
+      if (Of.Held && !Held)
+        Of.Lost = {*Of.Held, this->Now + GiveUpAfter};
+      if (Held) {
+        Of.Lost.reset();
+        Of.HeldSince = this->Now;
+        this->Changes +=
+            std::exchange(this->LastHolder, Index) == Index ? 0 : 1;
+      }
+      Of.Held = Held;
+    }
+    if (Of.Lost && this->Now >= Of.Lost->second)
+      this->announce(Index, std::exchange(Of.Lost, std::nullopt)->first);
+  }
+
+  /// Tells most of the other instances that a lease is over for good.
+  void announce(std::size_t Index, FencingToken Token) {
+    for (std::size_t Other = 0; Other < this->Machines.size(); ++Other)
+      if (Other == Index ||
+          (this->runs(this->Machines[Other]) && this->draw(4) != 0))
+        this->Machines[Other].Lease->onGivenUp(Token, this->Now);
+  }
+
+  void sendOrders(std::size_t Index) {
+    Machine &Of = this->Machines[Index];
+    auto Token = Of.Lease->held(this->Now);
+    if (!Token)
+      return;
+    ++this->Ordering;
+    for (std::size_t Engine = 0; Engine < EngineCount; ++Engine) {
+      bool Slow = this->What.SlowOrders && this->draw(8) == 0;
+      milliseconds Transit = this->between(
+          1, static_cast<std::uint64_t>(
+                 (Slow ? MaxOrderTransit : TypicalOrderTransit).count()));
+      this->Orders.push_back(
+          {Engine, Index, *Token, this->Now, this->Now + Transit});
+    }
+  }
+
+  /// Lets the orders arrive that are due by the next step.
+  void deliver() {
+    auto Due = std::partition(this->Orders.begin(), this->Orders.end(),
+                              [this](const Order &Each) {
+                                return Each.ArrivesAt >= this->Now + Tick;
+                              });
+    std::vector<Order> Arriving(Due, this->Orders.end());
+    this->Orders.erase(Due, this->Orders.end());
+    std::sort(Arriving.begin(), Arriving.end(),
+              [](const Order &Left, const Order &Right) {
+                return Left.ArrivesAt < Right.ArrivesAt;
+              });
+    for (const Order &Each : Arriving) {
+      base::TimePoint Resumed = this->Machines[Each.Holder].FrozenUntil;
+      bool JustResumed = Resumed != base::TimePoint{} &&
+                         Each.ArrivesAt < Resumed + ResumeSlack;
+      if (!JustResumed)
+        this->Judges[Each.Engine].onOrder(Each.Holder, Each.Token,
+                                          Each.ArrivesAt);
+    }
+  }
+
+  void disturb() {
+    auto Holder = std::find_if(
+        this->Machines.begin(), this->Machines.end(),
+        [this](const Machine &Each) { return this->runs(Each) && Each.Held; });
+    // In series: each holder soon after it has begun, or a while later.
+    if (Holder == this->Machines.end() ||
+        this->Now < Holder->HeldSince + this->NextAge)
+      return;
+    this->NextAge = this->draw(2) == 0 ? this->between(100, 1000)
+                                       : this->between(1000, 4000);
+    auto Index = static_cast<std::size_t>(Holder - this->Machines.begin());
+    std::vector<void (TurnSimulation::*)(std::size_t)> Kinds;
+    if (this->What.Yields)
+      Kinds.push_back(&TurnSimulation::yield);
+    if (this->What.Stops)
+      Kinds.push_back(&TurnSimulation::stop);
+    if (this->What.Kills)
+      Kinds.push_back(&TurnSimulation::kill);
+    if (this->What.Freezes)
+      Kinds.push_back(&TurnSimulation::freeze);
+    if (this->What.StoreCuts)
+      Kinds.push_back(&TurnSimulation::cutFromStore);
+    if (!Kinds.empty())
+      (this->*Kinds[this->draw(Kinds.size())])(Index);
+  }
+
+  void yield(std::size_t Index) {
+    if (auto Release = this->Machines[Index].Lease->yield(this->Now))
+      this->append(Index, *Release);
+  }
+  void stop(std::size_t Index) {
+    this->Machines[Index].EndsAt = this->Now + this->between(700, 1500);
+    if (auto Release = this->Machines[Index].Lease->release(this->Now))
+      this->append(Index, *Release);
+  }
+  void kill(std::size_t Index) { this->Machines[Index].EndsAt = this->Now; }
+  void freeze(std::size_t Index) {
+    this->Machines[Index].FrozenUntil = this->Now + this->between(50, 4000);
+  }
+  void cutFromStore(std::size_t Index) {
+    this->Machines[Index].StoreCutUntil = this->Now + this->between(500, 4000);
+  }
+
+  Disturbances What;
+  std::mt19937_64 Random;
+  HolderLeaseSettings Settings;
+  base::TimePoint Now{std::chrono::hours(1)};
+  std::deque<Machine> Machines;
+  std::vector<Order> Orders;
+  std::vector<TurnJudge> Judges;
+  std::vector<LateAppend> Late;
+  std::optional<LeaseRecord> Record;
+  std::uint64_t End = 0;
+  std::optional<std::size_t> LastHolder;
+  milliseconds NextAge{1000};
+};
+
+struct TurnCase {
+  const char *Name;
+  Disturbances What;
+};
+
+void PrintTo(const TurnCase &Each, std::ostream *To) { *To << Each.Name; }
+
+class HolderTurnsTest : public testing::TestWithParam<TurnCase> {};
+
+} // namespace
+
+/// Whichever way a lease ends, an instance must not order again within the
+/// bound once another has ordered.
+TEST_P(HolderTurnsTest, InstancesDoNotOrderByTurnsWithinTheBound) {
+  constexpr std::uint64_t Seeds = 20;
+  for (std::size_t Count : {2, 3, 8, 73}) {
+    std::size_t Turns = 0;
+    std::size_t SharedTokens = 0;
+    std::size_t Changes = 0;
+    std::size_t Ordering = 0;
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      TurnSimulation Simulation(Count, GetParam().What, Seed);
+      Simulation.run();
+      Turns += Simulation.turns();
+      SharedTokens += Simulation.sharedTokens();
+      Changes += Simulation.Changes;
+      Ordering += Simulation.Ordering;
+    }
+    EXPECT_EQ(Turns, 0U) << Count << " instances";
+    EXPECT_EQ(SharedTokens, 0U) << Count << " instances";
+    // The runs are about changes of holder, and the fleet is not idle.
+    EXPECT_GE(Changes, Seeds * 5) << Count << " instances";
+    EXPECT_GE(Ordering, Seeds * RunLength / Tick / 5) << Count << " instances";
+    RecordProperty(
+        "ordering_share_" + std::to_string(Count),
+        std::to_string(static_cast<double>(Ordering) /
+                       static_cast<double>(Seeds * RunLength / Tick)));
+    RecordProperty("changes_" + std::to_string(Count), std::to_string(Changes));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    EveryWay, HolderTurnsTest,
+    testing::Values(
+        TurnCase{"Yields", {.Yields = true}},
+        TurnCase{"StopsInSeries", {.Stops = true}},
+        TurnCase{"KillsInSeries", {.Kills = true}},
+        TurnCase{"Lapses", {.StoreCuts = true}},
+        TurnCase{"Freezes", {.Freezes = true}},
+        TurnCase{"SlowOrders",
+                 {.Yields = true, .StoreCuts = true, .SlowOrders = true}},
+        TurnCase{"LateAppends", {.Yields = true, .LateAppends = true}},
+        TurnCase{"EverythingAtOnce",
+                 {.Yields = true,
+                  .Stops = true,
+                  .Kills = true,
+                  .Freezes = true,
+                  .StoreCuts = true,
+                  .LateAppends = true,
+                  .SlowOrders = true}}),
+    [](const auto &Info) { return std::string(Info.param.Name); });
