A request that was given up does not arrive later

One of the causes that are possible: a control call that timed out or was cancelled was closed, and the system went on to send what it had queued, seconds later over a link that heals.

The client now discards what the peer's machine has not acknowledged by closing such a connection with a reset, and can bound how long bytes may stay unacknowledged, which holds while the process is stopped as well.

AbandonedRequestTest failed before in all three cases: the peer read the rest of the request up to an orderly end (asio.misc:2 instead of a reset), and a request to a peer that acknowledges nothing had not ended after 10 s.

--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -2,7 +2,9 @@
 #define KINGCUPHUB_HTTP_HTTPCLIENT_H
 
 /// \file
-/// An HTTP/1.1 client on the caller's Asio loop (libcurl's multi interface).
+/// An HTTP/1.1 client on the caller's Asio loop (libcurl's multi interface). A
+/// request that has ended without its answer does not arrive later: what the
+/// peer's machine has not acknowledged by then is discarded.
 /// All calls and callbacks happen on the thread that runs the loop.
 
 #include "base/clock.h"
@@ -29,6 +31,10 @@
   std::chrono::milliseconds ConnectTimeout{1000};
   /// Bounds the whole transfer; zero is no bound.
   std::chrono::milliseconds TotalTimeout{0};
+  /// Ends the transfer if the peer's machine acknowledges none of the bytes
+  /// sent for this long; zero is the system's limit. Holds for a connection
+  /// from its start, so that all requests to a peer should state the same.
+  std::chrono::milliseconds UnacknowledgedTimeout{0};
   /// Takes a new connection and does not keep it afterwards.
   bool FreshConnection = false;
 };
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -7,9 +7,12 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <unordered_map>
 #include <utility>
 
@@ -23,13 +26,30 @@
 constexpr long ProbeSeconds = 1;
 constexpr int ProbeCount = 2;
 
-/// libcurl sets the probes' interval, but not their number.
-int limitProbes(void *, curl_socket_t Socket, curlsocktype) {
-  // Without the option a silent connection is found later, by the timeout.
+/// Sets what libcurl has no options for; \p Owner is the ClientRequest.
+int setSocketOptions(void *Owner, curl_socket_t Socket, curlsocktype) {
+  // Without the options a silent connection is found later, by the timeout.
   setsockopt(Socket, IPPROTO_TCP, TCP_KEEPCNT, &ProbeCount, sizeof(ProbeCount));
+  auto Unacknowledged = static_cast<unsigned>(
+      static_cast<ClientRequest *>(Owner)->UnacknowledgedTimeout.count());
+  if (Unacknowledged > 0)
+    setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &Unacknowledged,
+               sizeof(Unacknowledged));
   return CURL_SOCKOPT_OK;
 }
 
+/// A plain close would let the system go on to send what is queued; a reset
+/// discards it.
+int closeSocket(void *, curl_socket_t Socket) {
+  int Unacknowledged = 0;
+  bool Known = ioctl(Socket, SIOCOUTQ, &Unacknowledged) == 0;
+  if (!Known || Unacknowledged > 0) {
+    constexpr linger Reset{1, 0};
+    setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
+  }
+  return close(Socket);
+}
+
 /// libcurl's global state, set up before the first handle.
 struct CurlLibrary {
   CurlLibrary() { curl_global_init(CURL_GLOBAL_DEFAULT); }
@@ -183,7 +203,9 @@
     curl_easy_setopt(Easy, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(Easy, CURLOPT_TCP_KEEPIDLE, ProbeSeconds);
     curl_easy_setopt(Easy, CURLOPT_TCP_KEEPINTVL, ProbeSeconds);
-    curl_easy_setopt(Easy, CURLOPT_SOCKOPTFUNCTION, limitProbes);
+    curl_easy_setopt(Easy, CURLOPT_SOCKOPTFUNCTION, setSocketOptions);
+    curl_easy_setopt(Easy, CURLOPT_SOCKOPTDATA, &New.Request);
+    curl_easy_setopt(Easy, CURLOPT_CLOSESOCKETFUNCTION, closeSocket);
     curl_easy_setopt(Easy, CURLOPT_PRIVATE, &New);
     curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(Request.ConnectTimeout.count()));
