An instance orders again only after its turn

Cause: nothing asked when a claimant had ordered last. Each way for a lease to end had a bound of its own or none: a yield 2 s, a stop in series the claim delay alone, a lapse 1.8 s, a restart nothing, while the deployment's bound (lease_ms, 3 s) was not known to the instance at all. Orders were checked against the lease when they were handed to the HTTP client, and up to 700 ms passed until they arrived, while a successor waited for 300 ms or not at all.

HolderLease now owns the property, whichever way a lease ends: an instance orders again if the log shows that nobody else can have ordered since, or once order_turn_ms have passed since the end of its own last order. A process that has just started counts the one before it as ordering until its start; only its machine's own record as the newest one spares it that, and the record says what its holder still had to wait. An instance that may not order leaves the claim to others for 1.5 s, then claims, serves its other duties and waits. Orders are sent only while they arrive within the lease (its end and Drift less OrderTransit), a release waits for orders under way, and those of a lost lease are abandoned. The values that must exceed others are derived from each other (turnInterval(), the call's timeouts), and a lease too short for an order is refused.

--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -83,6 +83,9 @@
   virtual void order(const catalog::Target &To, const residency::Order &What,
                      const base::InstanceId &Holder,
                      std::function<void(residency::OrderAnswer)> Done) = 0;
+  /// Abandons all orders under way, whose outcome is then Unknown: what has not
+  /// reached its engine yet does not arrive later.
+  virtual void abandonOrders() = 0;
 };
 
 } // namespace kingcuphub::control
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -60,7 +60,7 @@
   this->Token = Held;
   this->Holder.setLease(Held, Now);
   if (!Held)
-    return;
+    return this->Engines.abandonOrders();
   this->Metrics.counter("lease_gained").add();
   this->HeldSince = Now;
   this->Instances.clear();
@@ -89,10 +89,11 @@
       {"previous", Before ? Before->Holder.Value : ""},
       {"previous_token", Before ? Before->Token.Value : 0},
       {"previous_released", Before && Before->Released},
+      {"order_wait_ms", this->Lease.orderWait(Now).count()},
       {"engines", this->Holder.engines().views(Now).size()},
       {"catalog", this->Catalog ? this->Catalog->Version.Value : 0}};
-  if (this->LastOrderAt)
-    Fields["own_order_ms_ago"] = base::millisOf(Now - *this->LastOrderAt);
+  if (const auto &Last = this->Lease.lastOrder())
+    Fields["own_order_ms_ago"] = base::millisOf(Now - *Last);
   base::logEvent(base::LogLevel::Info, "lease-gained", std::move(Fields));
 }
 
@@ -121,9 +122,8 @@
   base::TimePoint Now = this->Clock.now();
   if (!this->Token)
     return false;
-  if (Behind && Now >= this->HeldSince + this->Settings.MinHoldTimeWhenBehind)
-    return true;
-  if (Now < this->HeldSince + this->Settings.MinHoldTime)
+  if (Now < this->HeldSince + (Behind ? this->Settings.Lease.turnInterval()
+                                      : this->Settings.MinHoldTime))
     return false;
   return std::any_of(
       this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
@@ -259,7 +259,7 @@
 void HolderRole::tick() {
   this->checkLease();
   bool GraceElapsed =
-      this->Lost &&
+      this->Lost && !this->Lease.hasOrdersUnderWay() &&
       this->Clock.now() >= this->Lost->At + this->Settings.GiveUpAfter;
   if (GraceElapsed)
     this->announceGivenUpLease();
@@ -267,7 +267,9 @@
     return;
   base::TimePoint Begun = this->Clock.now();
   this->updateInstanceCounts(Begun);
-  for (const residency::HolderCommand &Each : this->Holder.tick(Begun))
+  bool MayOrder = this->Lease.orderToken(Begun).has_value();
+  for (const residency::HolderCommand &Each :
+       this->Holder.tick(Begun, MayOrder))
     this->carryOut(Each);
   this->updateSuspects();
   this->publish();
@@ -421,7 +423,7 @@
   const catalog::Target *To = this->Holder.engines().target(What.Target);
   base::TimePoint SentAt = this->Clock.now();
   // The lease may have expired during planning.
-  if (To == nullptr || this->Lease.held(SentAt) != this->Token) {
+  if (To == nullptr || this->Lease.orderToken(SentAt) != this->Token) {
     this->Holder.onAnswer(What, residency::OrderAnswer::Conflict, SentAt);
     return;
   }
@@ -439,7 +441,7 @@
                   {"token", What.Token.Value},
                   {"lease_left_ms", this->Lease.timeLeft(SentAt).count()},
                   {"reason", Command.Reason}});
-  this->LastOrderAt = SentAt;
+  this->Lease.onOrderSent();
   this->Engines.order(
       *To, What, this->Settings.Self,
       [this, Live = this->Alive, What, SentAt](residency::OrderAnswer Answer) {
@@ -454,6 +456,7 @@
                         {"revision", What.ExpectedRevision},
                         {"answer", residency::orderAnswerName(Answer)},
                         {"after_ms", base::millisOf(Now - SentAt)}});
+        this->Lease.onOrderEnded(Now);
         if (Answer == residency::OrderAnswer::Fenced)
           this->Lease.onFenced();
         this->Holder.onAnswer(What, Answer, Now);
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -43,8 +43,8 @@
   void onRecord(const residency::LeaseRecord &Record);
   /// Runs a planning round; must be called regularly.
   void tick();
-  /// Whether to give up the lease to another instance, because this one is
-  /// \p Behind schedule or a much better equipped one is available.
+  /// Whether to give up the lease to another instance: one that is much better
+  /// equipped, or not behind schedule while this one is \p Behind.
   bool shouldYield(bool Behind) const;
   /// Tells every instance that this one will not resume its lost or released
   /// lease.
@@ -102,8 +102,6 @@
   std::unique_ptr<messaging::MessageServer> Server;
   std::optional<residency::FencingToken> Token;
   base::TimePoint HeldSince;
-  /// Of this instance, under any lease.
-  std::optional<base::TimePoint> LastOrderAt;
   unsigned InheritedInstances = 0;
   /// A lapsed lease that a late renewal may still restore.
   std::optional<LostLease> Lost;
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -23,7 +23,9 @@
   std::function<std::unique_ptr<control::ControlStore>(
       asio::io_context &, http::HttpClient &, const base::Endpoint &Store)>
       MakeStore;
-  std::function<std::unique_ptr<control::EngineClient>(http::HttpClient &)>
+  /// Orders arrive or are abandoned within \p OrderTransit.
+  std::function<std::unique_ptr<control::EngineClient>(
+      http::HttpClient &, std::chrono::milliseconds OrderTransit)>
       MakeEngines;
 };
 
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -13,8 +13,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds StopCheckInterval{50};
-/// One renewal may fail before the lease lapses.
-constexpr int RenewalsPerLease = 3;
 /// The time without an open request after which a stopping instance ends.
 constexpr milliseconds QuietBeforeEnd{300};
 
@@ -25,7 +23,8 @@
       : Loop(Loop), Options(Options), Speaks(std::move(NewSpeaks)),
         Clock(Clock), Http(http::makeHttpClient(Loop)),
         Store(this->Speaks.MakeStore(Loop, *this->Http, this->Options.Store)),
-        Engines(this->Speaks.MakeEngines(*this->Http)),
+        Engines(this->Speaks.MakeEngines(*this->Http,
+                                         this->Options.lease().OrderTransit)),
         Traffic(Loop, this->Options, *this->Speaks.Protocol, Clock,
                 this->Metrics,
                 {[this] { this->Control->reportSoon(); },
@@ -86,9 +85,7 @@
     Out.Incarnation.Value = static_cast<std::uint64_t>(
         this->Clock.wallNow().time_since_epoch().count());
     Out.LinkEndpoint = "tcp://" + this->Options.Link.text();
-    Out.Lease.Duration = this->Options.Lease;
-    Out.Lease.RenewEvery = this->Options.Lease / RenewalsPerLease;
-    Out.Lease.Handicap = residency::claimHandicap(this->Options.Capacity);
+    Out.Lease = this->Options.lease();
     Out.Usage.Window = this->Options.UsageWindow;
     return Out;
   }
--- a/src/instance/internal/settings.cpp
+++ b/src/instance/internal/settings.cpp
@@ -11,6 +11,8 @@
 constexpr milliseconds ShortestLease{500};
 constexpr milliseconds LongestLease{60000};
 constexpr milliseconds ShortestWindow{1000};
+/// One renewal may fail before the lease lapses.
+constexpr int RenewalsPerLease = 3;
 constexpr milliseconds LongestWindow{600000};
 constexpr double MostRepeats = 1e6;
 constexpr double LeastProcessor = 0.01;
@@ -53,6 +55,15 @@
 
 } // namespace
 
+residency::HolderLeaseSettings Settings::lease() const {
+  residency::HolderLeaseSettings Out;
+  Out.Duration = this->Lease;
+  Out.RenewEvery = this->Lease / RenewalsPerLease;
+  Out.OrderTurn = this->OrderTurn;
+  Out.Handicap = residency::claimHandicap(this->Capacity);
+  return Out;
+}
+
 Settings parseSettings(base::SettingsReader &Reader) {
   Settings Out;
   Out.Name.Value = Reader.requiredText("name");
@@ -63,6 +74,11 @@
   Out.Link = requiredEndpoint(Reader, "link");
   Out.Store = requiredEndpoint(Reader, "store");
   Out.Lease = Reader.millis("lease_ms", Out.Lease, ShortestLease, LongestLease);
+  if (!Out.lease().leavesTimeForOrders())
+    Reader.problem("lease_ms", std::to_string(Out.Lease.count()),
+                   "too short for an order to arrive between two renewals");
+  Out.OrderTurn = Reader.millis("order_turn_ms", Out.OrderTurn, milliseconds(0),
+                                LongestLease);
   Out.UsageWindow = Reader.millis("usage_window_ms", Out.UsageWindow,
                                   ShortestWindow, LongestWindow);
   // A change is in force when its caller's request has come in, some network
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -11,6 +11,7 @@
 #include "base/settings.h"
 #include "dispatch/retrybudget.h"
 #include "residency/capacity.h"
+#include "residency/holderlease.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -45,12 +46,17 @@
   /// How long the holder's lease lasts: short, as nobody gives orders between
   /// a holder's death and its end, and long against a slow answer of the store.
   std::chrono::milliseconds Lease{1800};
+  /// Minimum time between two orders of an instance if another one may have
+  /// ordered in between: the deployment's bound on holders that alternate.
+  std::chrono::milliseconds OrderTurn{3000};
   /// How long a catalog goes on to deny routes and keys after it was the newest
   /// for certain: within the time in which a change has to be in force.
   std::chrono::milliseconds CatalogProofFor{1800};
   /// The span over which accounts' limits hold.
   std::chrono::milliseconds UsageWindow{8000};
   base::LogLevel Level = base::LogLevel::Info;
+
+  residency::HolderLeaseSettings lease() const;
 };
 
 /// Reads the settings; problems are left in \p Reader.
--- a/src/instance/tests/settingstest.cpp
+++ b/src/instance/tests/settingstest.cpp
@@ -43,3 +43,19 @@
   Bad["stop"] = {{"grace_ms", 3000}, {"accept_for_ms", 2900}};
   EXPECT_EQ(read(Bad).Problems.size(), 1U);
 }
+
+TEST(InstanceSettingsTest, ALeaseTooShortForAnOrderIsRefused) {
+  nlohmann::json Bad = exampleSettings();
+  Bad["lease_ms"] = 600;
+  EXPECT_EQ(read(Bad).Problems.size(), 1U);
+}
+
+/// A holder that yields before the one before it may order again leaves nobody
+/// to order.
+TEST(InstanceSettingsTest, TheTurnOfAHolderFollowsFromTheDeploymentsBound) {
+  nlohmann::json From = exampleSettings();
+  From["order_turn_ms"] = 5000;
+  residency::HolderLeaseSettings Lease = read(From).Settings.lease();
+  EXPECT_EQ(Lease.OrderTurn.count(), 5000);
+  EXPECT_GT(Lease.turnInterval().count(), 5000);
+}
--- a/src/residency/holder.h
+++ b/src/residency/holder.h
@@ -53,7 +53,8 @@
   void onReport(const base::TargetId &Id,
                 const std::optional<EngineReport> &Report, base::TimePoint Now);
   void onAnswer(const Order &Sent, OrderAnswer Answer, base::TimePoint Now);
-  std::vector<HolderCommand> tick(base::TimePoint Now);
+  /// Requests reports that are due and, if \p MayOrder, gives orders.
+  std::vector<HolderCommand> tick(base::TimePoint Now, bool MayOrder = true);
 
   const EngineTracker &engines() const { return this->Engines; }
 
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -35,23 +35,40 @@
   unsigned Instances = 0;
   /// What the next holder takes over, in a form that the lease does not know.
   std::string State;
+  /// Time from this record until its holder may give orders.
+  std::chrono::milliseconds OrderWait{0};
 };
 
 struct HolderLeaseSettings {
   std::chrono::milliseconds Duration{3000};
   std::chrono::milliseconds RenewEvery{1000};
-  /// Allows for the drift between the clocks of two instances over a lease and
-  /// for the time between the holder's last check and an order's arrival.
+  /// Allows for the drift between the clocks of two instances over a lease.
   std::chrono::milliseconds Drift{300};
+  /// Minimum time from an instance's last order to its next one if another
+  /// instance may have ordered in between.
+  std::chrono::milliseconds OrderTurn{3000};
+  /// Maximum time from the check that precedes an order until the order has
+  /// arrived or has been abandoned.
+  std::chrono::milliseconds OrderTransit{700};
   /// Claims are delayed at random by up to this time, so that few collide.
   std::chrono::milliseconds ClaimSpread{500};
   /// Additional delay of this instance's claims (see capacity.h).
   std::chrono::milliseconds Handicap{0};
-  /// Additional delay while this instance is behind schedule (see
-  /// lagdetector.h): long enough for the others to claim first.
-  std::chrono::milliseconds BehindHandicap{1500};
+  /// Maximum additional delay while this instance is behind schedule (see
+  /// lagdetector.h) or may not order yet: long enough for the others to claim
+  /// first.
+  std::chrono::milliseconds DeferDelay{1500};
   /// How long to wait for the answer to an append.
   std::chrono::milliseconds AppendTimeout{1000};
+
+  /// Time after which any earlier holder may order again.
+  std::chrono::milliseconds turnInterval() const {
+    return this->OrderTurn + this->OrderTransit + this->Drift;
+  }
+  /// Whether a holder can order between two renewals.
+  bool leavesTimeForOrders() const {
+    return this->Duration + this->Drift > this->RenewEvery + this->OrderTransit;
+  }
 };
 
 /// Why an instance does not hold the lease.
@@ -79,9 +96,11 @@
 
 class HolderLease {
 public:
+  /// \p StartedAt is when this process started: until then an earlier process
+  /// on the same machine may have ordered.
   HolderLease(base::InstanceId Self, base::Incarnation Incarnation,
               std::string Endpoint, HolderLeaseSettings Settings,
-              std::uint64_t Seed);
+              std::uint64_t Seed, base::TimePoint StartedAt = {});
 
   /// Handles the newest record, or none, and the end of the log, as read from
   /// the store.
@@ -100,7 +119,7 @@
   /// The remaining time of the lease, as the holder reports it to others.
   std::chrono::milliseconds timeLeft(base::TimePoint Now) const;
   LeaseLogEnd end() const { return this->End.value_or(LeaseLogEnd{}); }
-  /// The claim or renewal to append now, if any.
+  /// The claim, renewal or pending release to append now, if any.
   std::optional<LeaseAppend> tick(unsigned Instances, base::TimePoint Now);
   void onAppended(const LeaseAppend &Sent, base::TimePoint Now);
   /// Handles that another record was appended first, or that the outcome is
@@ -109,15 +128,34 @@
   /// Handles that an engine rejected the token because a later holder has given
   /// orders.
   void onFenced();
-  /// Gives the lease back; any instance may claim it.
+  /// Gives the lease back; any instance may claim it. No more orders are given,
+  /// and the release is appended once none is under way: now, or by tick().
   std::optional<LeaseAppend> yield(base::TimePoint Now);
   /// Gives the lease back for a graceful shutdown; this instance claims it no
   /// more.
   std::optional<LeaseAppend> release(base::TimePoint Now);
+  /// Whether the release waits for orders under way.
+  bool isYielding() const { return this->Yielding; }
 
-  /// The token if the lease is held at \p Now; must be checked right before
-  /// each order is sent.
+  /// The token if the lease is held at \p Now.
   std::optional<FencingToken> held(base::TimePoint Now) const;
+  /// The token if an order may be sent at \p Now; must be checked right before.
+  ///
+  /// Load pattern: holders are stopped, slowed or cut off in series, so that
+  /// the lease returns to an instance within OrderTurn. An instance orders
+  /// again only if nobody else may have ordered since, or OrderTurn has passed.
+  std::optional<FencingToken> orderToken(base::TimePoint Now) const;
+  /// Time until this instance may order under its latest claim.
+  std::chrono::milliseconds orderWait(base::TimePoint Now) const;
+  /// Must be called for each order that is sent, and once it has been answered
+  /// or abandoned.
+  void onOrderSent() { ++this->OrdersUnderWay; }
+  void onOrderEnded(base::TimePoint Now);
+  bool hasOrdersUnderWay() const { return this->OrdersUnderWay > 0; }
+  /// When this instance's latest order ended, if it has sent any.
+  const std::optional<base::TimePoint> &lastOrder() const {
+    return this->LastOrderAt;
+  }
   /// Whether the newest known record is this incarnation's and was neither
   /// released nor given up; it may have lapsed.
   bool claimedHere() const;
@@ -127,6 +165,9 @@
   /// Sets whether this instance is behind schedule; its claims are then
   /// delayed.
   void setBehind(bool NewBehind) { this->Behind = NewBehind; }
+  /// The delay of this instance's claims relative to those of the best equipped
+  /// instances.
+  std::chrono::milliseconds claimHandicap() const;
   /// Sets what the next holder takes over. It is appended at once if it has
   /// changed.
   void setState(std::string New);
@@ -154,8 +195,12 @@
   };
 
   bool isGivenUp() const;
+  /// When the lease may be claimed by the instance without any delay.
+  base::TimePoint expiry() const;
   base::TimePoint earliestClaimTime() const;
-  std::chrono::milliseconds claimDelay() const;
+  /// When this instance may order if it claims the lease at \p Now.
+  base::TimePoint earliestOrderTime(base::TimePoint Now) const;
+  std::optional<LeaseAppend> releaseIfIdle(base::TimePoint Now);
   LeaseAppend append(bool Release, unsigned Instances, base::TimePoint Now);
   void drawClaimDelay();
 
@@ -179,6 +224,12 @@
   unsigned LastInstances = 0;
   std::string State;
   bool StateAppended = true;
+  base::TimePoint StartedAt;
+  std::optional<base::TimePoint> LastOrderAt;
+  std::size_t OrdersUnderWay = 0;
+  /// When this instance may order under its latest claim.
+  base::TimePoint OrderFrom;
+  bool Yielding = false;
   bool Leaving = false;
   bool Fenced = false;
   bool Behind = false;
--- a/src/residency/internal/holder.cpp
+++ b/src/residency/internal/holder.cpp
@@ -42,12 +42,14 @@
   this->Engines.onAnswer(Sent, Answer, Now);
 }
 
-std::vector<HolderCommand> Holder::tick(base::TimePoint Now) {
+std::vector<HolderCommand> Holder::tick(base::TimePoint Now, bool MayOrder) {
   std::vector<HolderCommand> Out;
   if (!this->Token || !this->Catalog)
     return Out;
   for (const base::TargetId &Each : this->Engines.takeDueReports(Now))
     Out.emplace_back(AskReport{Each});
+  if (!MayOrder)
+    return Out;
   for (const Order &Each : this->Engines.takeResends(*this->Token, Now))
     Out.emplace_back(SendOrder{Each, "no-answer"});
   this->plan(Now, Out);
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -32,9 +32,11 @@
 HolderLease::HolderLease(base::InstanceId NewSelf,
                          base::Incarnation NewIncarnation,
                          std::string NewEndpoint,
-                         HolderLeaseSettings NewSettings, std::uint64_t Seed)
+                         HolderLeaseSettings NewSettings, std::uint64_t Seed,
+                         base::TimePoint NewStartedAt)
     : Self(std::move(NewSelf)), Incarnation(NewIncarnation),
-      Endpoint(std::move(NewEndpoint)), Settings(NewSettings), Random(Seed) {
+      Endpoint(std::move(NewEndpoint)), Settings(NewSettings), Random(Seed),
+      StartedAt(NewStartedAt) {
   this->drawClaimDelay();
 }
 
@@ -98,8 +100,11 @@
     Out.Record.State = this->State;
   else if (this->Latest)
     Out.Record.State = this->Latest->State;
-  if (!this->claimedHere())
+  if (!this->claimedHere()) {
     this->Predecessor = this->Latest;
+    this->OrderFrom = this->earliestOrderTime(Now);
+  }
+  Out.Record.OrderWait = this->orderWait(Now);
   this->StateAppended = true;
   this->LastInstances = Instances;
   this->LastSentAt = Now;
@@ -130,33 +135,71 @@
       std::max(this->ValidUntil - Now, base::Duration::zero()));
 }
 
-std::chrono::milliseconds HolderLease::claimDelay() const {
-  return this->Delay + (this->Behind ? this->Settings.BehindHandicap
-                                     : std::chrono::milliseconds(0));
+std::chrono::milliseconds HolderLease::claimHandicap() const {
+  return this->Settings.Handicap + (this->Behind
+                                        ? this->Settings.DeferDelay
+                                        : std::chrono::milliseconds(0));
 }
 
-base::TimePoint HolderLease::earliestClaimTime() const {
+base::TimePoint HolderLease::expiry() const {
   if (!this->Latest || this->Latest->Released)
-    return this->ChangedAt + this->claimDelay();
-  // Orders sent just before the lease was given up may still be in transit.
-  if (this->isGivenUp())
-    return std::max(this->ChangedAt, this->GivenUp->At + this->Settings.Drift) +
-           this->claimDelay();
-  // The record is from an earlier incarnation of this instance, which has
-  // ended.
-  if (this->Latest->Holder == this->Self)
     return this->ChangedAt;
+  if (this->isGivenUp())
+    return std::max(this->ChangedAt, this->GivenUp->At + this->Settings.Drift);
   bool Reported = this->HolderExpiry && this->HolderExpiry->End == *this->End;
   base::TimePoint ExpiresAt = Reported
                                   ? this->HolderExpiry->Until
                                   : this->ChangedAt + this->Settings.Duration;
-  return ExpiresAt + this->Settings.Drift + this->claimDelay();
+  return ExpiresAt + this->Settings.Drift;
+}
+
+base::TimePoint HolderLease::earliestClaimTime() const {
+  bool OwnEarlier = this->Latest && !this->Latest->Released &&
+                    !this->isGivenUp() && this->Latest->Holder == this->Self;
+  // The record is from an earlier incarnation of this instance, which has
+  // ended.
+  if (OwnEarlier)
+    return this->ChangedAt;
+  base::TimePoint From = this->expiry() + this->Delay;
+  base::TimePoint Latest = From + this->Settings.DeferDelay;
+  return this->Behind ? Latest
+                      : std::clamp(this->earliestOrderTime(From), From, Latest);
+}
+
+base::TimePoint HolderLease::earliestOrderTime(base::TimePoint Now) const {
+  bool LogIsNew = !this->Latest && this->End == LeaseLogEnd{};
+  if (LogIsNew)
+    return {};
+  bool IsOwn = this->Latest && this->Latest->Holder == this->Self &&
+               this->Latest->Endpoint == this->Endpoint;
+  // Nobody else has held the lease since.
+  if (IsOwn && this->Latest->Incarnation == this->Incarnation)
+    return this->OrderFrom;
+  if (IsOwn)
+    return this->ChangedAt + this->Latest->OrderWait;
+  base::TimePoint LastOrder =
+      this->LastOrderAt.value_or(this->StartedAt + this->Settings.OrderTransit);
+  if (this->hasOrdersUnderWay())
+    LastOrder = std::max(LastOrder, Now + this->Settings.OrderTransit);
+  return LastOrder + this->Settings.OrderTurn + this->Settings.Drift;
+}
+
+std::chrono::milliseconds HolderLease::orderWait(base::TimePoint Now) const {
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(this->OrderFrom - Now, base::Duration::zero()));
+}
+
+void HolderLease::onOrderEnded(base::TimePoint Now) {
+  --this->OrdersUnderWay;
+  this->LastOrderAt = Now;
 }
 
 std::optional<LeaseAppend> HolderLease::tick(unsigned Instances,
                                              base::TimePoint Now) {
-  if (this->Leaving || !this->End)
+  if (!this->End)
     return std::nullopt;
+  if (this->Yielding || this->Leaving)
+    return this->releaseIfIdle(Now);
   if (this->PendingSince &&
       Now < *this->PendingSince + this->Settings.AppendTimeout)
     return std::nullopt;
@@ -202,10 +245,21 @@
 }
 
 std::optional<LeaseAppend> HolderLease::yield(base::TimePoint Now) {
-  bool Held = this->claimedHere() && this->End;
-  this->ValidUntil = {};
-  if (!Held)
+  this->Yielding = true;
+  return this->releaseIfIdle(Now);
+}
+
+std::optional<LeaseAppend> HolderLease::releaseIfIdle(base::TimePoint Now) {
+  if (!this->claimedHere()) {
+    this->Yielding = false;
+    return std::nullopt;
+  }
+  bool AppendPending = this->PendingSince &&
+                       Now < *this->PendingSince + this->Settings.AppendTimeout;
+  if (!this->End || AppendPending || this->hasOrdersUnderWay())
     return std::nullopt;
+  this->Yielding = false;
+  this->ValidUntil = {};
   return this->append(true, this->LastInstances, Now);
 }
 
@@ -220,10 +274,19 @@
 }
 
 std::optional<FencingToken> HolderLease::held(base::TimePoint Now) const {
-  if (this->Leaving || this->Fenced || !this->claimedHere() ||
-      Now >= this->ValidUntil)
+  if (this->Fenced || !this->claimedHere() || Now >= this->ValidUntil)
     return std::nullopt;
   return this->Latest->Token;
 }
 
+std::optional<FencingToken> HolderLease::orderToken(base::TimePoint Now) const {
+  // A successor may order from ValidUntil and Drift on.
+  bool ArrivesInTime = Now + this->Settings.OrderTransit <=
+                       this->ValidUntil + this->Settings.Drift;
+  if (this->Yielding || this->Leaving || Now < this->OrderFrom ||
+      !ArrivesInTime)
+    return std::nullopt;
+  return this->held(Now);
+}
+
 } // namespace kingcuphub::residency
--- a/src/residency/tests/holderleasetest.cpp
+++ b/src/residency/tests/holderleasetest.cpp
@@ -280,6 +280,118 @@
   EXPECT_TRUE(Lease.tick(1, Now + milliseconds(2100)));
 }
 
+namespace {
+
+/// An instance that has run for a while and holds the lease from \p Now on.
+HolderLease makeHolder(const char *Name, base::TimePoint Now) {
+  HolderLease Out({Name}, {1}, Name, {}, 1);
+  Out.onRead(std::nullopt, {0}, Now - std::chrono::seconds(1));
+  Out.onAppended(*Out.tick(1, Now), Now);
+  return Out;
+}
+
+LeaseRecord releasedBy(const char *Name, FencingToken Token) {
+  LeaseRecord Out;
+  Out.Holder = {Name};
+  Out.Endpoint = Name;
+  Out.Token = Token;
+  Out.Released = true;
+  return Out;
+}
+
+} // namespace
+
+TEST(HolderLeaseTest, AnInstanceOrdersAgainOnlyAfterItsTurn) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLease Lease = makeHolder("a", Now);
+  ASSERT_TRUE(Lease.orderToken(Now));
+  Lease.onOrderSent();
+  Lease.onOrderEnded(Now);
+  Lease.onRead(releasedBy("b", {7}), {7}, Now + milliseconds(600));
+  Now += milliseconds(2600);
+  auto Claim = Lease.tick(1, Now);
+  ASSERT_TRUE(Claim);
+  EXPECT_EQ(Claim->Record.OrderWait, milliseconds(700));
+  Lease.onAppended(*Claim, Now);
+  EXPECT_TRUE(Lease.held(Now));
+  EXPECT_FALSE(Lease.orderToken(Now + milliseconds(699)));
+  EXPECT_TRUE(Lease.orderToken(Now + milliseconds(700)));
+}
+
+TEST(HolderLeaseTest, AnInstanceThatMayNotOrderYetLeavesTheClaimToOthers) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLease Lease = makeHolder("a", Now);
+  Lease.onOrderSent();
+  Lease.onOrderEnded(Now);
+  Lease.onRead(releasedBy("b", {7}), {7}, Now);
+  EXPECT_FALSE(Lease.tick(1, Now + milliseconds(1400)));
+  EXPECT_TRUE(Lease.tick(1, Now + milliseconds(2100)));
+}
+
+/// It does not know when the process before it ordered last.
+TEST(HolderLeaseTest, ARestartedInstanceOrdersOnlyAfterItsTurn) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLease Lease({"a"}, {2}, "a", {}, 1, Now);
+  Lease.onRead(releasedBy("b", {7}), {7}, Now);
+  Now += milliseconds(2100);
+  auto Claim = Lease.tick(1, Now);
+  ASSERT_TRUE(Claim);
+  Lease.onAppended(*Claim, Now);
+  EXPECT_TRUE(Lease.held(Now));
+  EXPECT_FALSE(Lease.orderToken(Now));
+  EXPECT_EQ(Lease.orderWait(Now), milliseconds(1900));
+}
+
+/// Nobody else can have ordered since its own record.
+TEST(HolderLeaseTest, ARestartedHolderOrdersWhenItsPredecessorMight) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  LeaseRecord Own = releasedBy("a", {7});
+  Own.Incarnation = {1};
+  Own.Released = false;
+  HolderLease Lease({"a"}, {2}, "a", {}, 1, Now);
+  Lease.onRead(Own, {7}, Now);
+  Lease.onAppended(*Lease.tick(1, Now), Now);
+  EXPECT_TRUE(Lease.orderToken(Now));
+  Own.OrderWait = milliseconds(900);
+  HolderLease Next({"a"}, {3}, "a", {}, 1, Now);
+  Next.onRead(Own, {8}, Now);
+  Next.onAppended(*Next.tick(1, Now), Now);
+  EXPECT_FALSE(Next.orderToken(Now + milliseconds(899)));
+  EXPECT_TRUE(Next.orderToken(Now + milliseconds(900)));
+}
+
+TEST(HolderLeaseTest, AnotherMachineWithTheSameNameIsAnotherHolder) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLease Lease({"a"}, {2}, "elsewhere", {}, 1, Now);
+  Lease.onRead(releasedBy("a", {7}), {7}, Now);
+  Now += milliseconds(2100);
+  Lease.onAppended(*Lease.tick(1, Now), Now);
+  EXPECT_TRUE(Lease.held(Now));
+  EXPECT_FALSE(Lease.orderToken(Now));
+}
+
+TEST(HolderLeaseTest, AReleaseWaitsForOrdersUnderWay) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLease Lease = makeHolder("a", Now);
+  Lease.onOrderSent();
+  EXPECT_FALSE(Lease.release(Now));
+  EXPECT_FALSE(Lease.orderToken(Now));
+  EXPECT_FALSE(Lease.tick(1, Now + milliseconds(400)));
+  Lease.onOrderEnded(Now + milliseconds(450));
+  auto Release = Lease.tick(1, Now + milliseconds(500));
+  ASSERT_TRUE(Release);
+  EXPECT_TRUE(Release->Record.Released);
+  EXPECT_FALSE(Lease.held(Now + milliseconds(500)));
+}
+
+TEST(HolderLeaseTest, NoOrderIsSentThatMayArriveAfterTheLease) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLease Lease = makeHolder("a", Now);
+  EXPECT_TRUE(Lease.orderToken(Now + milliseconds(2600)));
+  EXPECT_FALSE(Lease.orderToken(Now + milliseconds(2601)));
+  EXPECT_TRUE(Lease.held(Now + milliseconds(2601)));
+}
+
 TEST(HolderLeaseTest, AStateIsAppendedAtOnceAndOutlivesItsHolder) {
   base::TimePoint Now = base::TimePoint{} + milliseconds(100000);
   HolderLease Holder({"a"}, {1}, "", {}, 1);
