--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -128,7 +128,7 @@
   return std::any_of(
       this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
         return Now < Each.second.HeardAt + this->Settings.SilentAfter &&
-               residency::shouldYield(this->Settings.Lease.Handicap,
+               residency::shouldYield(this->Lease.claimHandicap(),
                                       Each.second.Handicap);
       });
 }
