A release that is executed late leaves no lease held

It took an earlier renewal for proof that it held the lease again, while the store may execute the release seconds later, whereupon others claim at once. Today's control side gives the token up before, so that this did not show outside the type. Renewals sent before a release no longer count.

AReleaseThatIsExecutedLateLeavesNoLeaseHeld failed before.

--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -260,6 +260,9 @@
     return std::nullopt;
   this->Yielding = false;
   this->ValidUntil = {};
+  // The store may execute the release late, so that earlier renewals no longer
+  // show that the lease is held.
+  this->Pending.clear();
   return this->append(true, this->LastInstances, Now);
 }
 
--- a/src/residency/tests/holderleasetest.cpp
+++ b/src/residency/tests/holderleasetest.cpp
@@ -392,6 +392,19 @@
   EXPECT_TRUE(Lease.held(Now + milliseconds(2601)));
 }
 
+/// The outcome of the release is unknown and the log still ends with the
+/// holder's own record; others may claim as soon as the release is executed.
+TEST(HolderLeaseTest, AReleaseThatIsExecutedLateLeavesNoLeaseHeld) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLease Lease = makeHolder("a", Now);
+  LeaseRecord Own = *Lease.record();
+  auto Release = Lease.yield(Now);
+  ASSERT_TRUE(Release);
+  Lease.onNotAppended(*Release);
+  Lease.onRead(Own, Release->At, Now + milliseconds(50));
+  EXPECT_FALSE(Lease.held(Now + milliseconds(50)));
+}
+
 /// On a busy machine every instance is behind: a change of holder helps nobody.
 TEST(HolderLeaseTest, AHolderThatIsBehindYieldsOnlyToOneThatIsNot) {
   HolderLease Holder({"a"}, {1}, "a", {}, 1);
