An order leaves only while it may still arrive within the lease

The check is repeated right before the request leaves, on new and kept connections; a request that may not leave has certainly not been sent.

--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -80,8 +80,11 @@
   virtual void
   report(const catalog::Target &From,
          std::function<void(std::optional<residency::EngineReport>)> Done) = 0;
+  /// \p MayStillSend is asked right before the order leaves; if it returns
+  /// false, nothing is sent and the answer is Conflict.
   virtual void order(const catalog::Target &To, const residency::Order &What,
                      const base::InstanceId &Holder,
+                     std::function<bool()> MayStillSend,
                      std::function<void(residency::OrderAnswer)> Done) = 0;
   /// Abandons all orders under way, whose outcome is then Unknown: what has not
   /// reached its engine yet does not arrive later.
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -122,8 +122,10 @@
   base::TimePoint Now = this->Clock.now();
   if (!this->Token)
     return false;
-  if (Now < this->HeldSince + (Behind ? this->Settings.Lease.turnInterval()
-                                      : this->Settings.MinHoldTime))
+  std::chrono::milliseconds MinHoldTime = this->Settings.Lease.turnInterval();
+  if (!Behind)
+    MinHoldTime = std::max(MinHoldTime, this->Settings.MinHoldTime);
+  if (Now < this->HeldSince + MinHoldTime)
     return false;
   return std::any_of(
       this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
@@ -418,12 +420,16 @@
       });
 }
 
+bool HolderRole::mayOrder(residency::FencingToken Under) const {
+  return this->Lease.orderToken(this->Clock.now()) == Under;
+}
+
 void HolderRole::sendOrder(const residency::SendOrder &Command) {
   const residency::Order &What = Command.What;
   const catalog::Target *To = this->Holder.engines().target(What.Target);
   base::TimePoint SentAt = this->Clock.now();
   // The lease may have expired during planning.
-  if (To == nullptr || this->Lease.orderToken(SentAt) != this->Token) {
+  if (To == nullptr || !this->mayOrder(What.Token)) {
     this->Holder.onAnswer(What, residency::OrderAnswer::Conflict, SentAt);
     return;
   }
@@ -444,6 +450,9 @@
   this->Lease.onOrderSent();
   this->Engines.order(
       *To, What, this->Settings.Self,
+      [this, Live = this->Alive, Token = What.Token] {
+        return *Live && this->mayOrder(Token);
+      },
       [this, Live = this->Alive, What, SentAt](residency::OrderAnswer Answer) {
         if (!*Live)
           return;
@@ -457,7 +466,8 @@
                         {"answer", residency::orderAnswerName(Answer)},
                         {"after_ms", base::millisOf(Now - SentAt)}});
         this->Lease.onOrderEnded(Now);
-        if (Answer == residency::OrderAnswer::Fenced)
+        if (Answer == residency::OrderAnswer::Fenced &&
+            What.Token == this->Token)
           this->Lease.onFenced();
         this->Holder.onAnswer(What, Answer, Now);
         this->requestPlan();
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -87,6 +87,8 @@
   void carryOut(const residency::HolderCommand &Command);
   void requestReport(const residency::AskReport &Command);
   void sendOrder(const residency::SendOrder &Command);
+  /// Whether an order may be sent now under this token.
+  bool mayOrder(residency::FencingToken Under) const;
 
   const ControlSettings &Settings;
   EngineClient &Engines;
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -35,6 +35,10 @@
   /// sent for this long; zero is the system's limit. Holds for a connection
   /// from its start, so that all requests to a peer should state the same.
   std::chrono::milliseconds UnacknowledgedTimeout{0};
+  /// Asked right before the request leaves, which may be long after start()
+  /// where the process was stopped or the peer was slow to accept; if it
+  /// returns false, nothing is sent. May be empty.
+  std::function<bool()> MayStillSend;
   /// Takes a new connection and does not keep it afterwards.
   bool FreshConnection = false;
 };
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -211,6 +211,10 @@
                      static_cast<long>(Request.ConnectTimeout.count()));
     curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
                      static_cast<long>(Request.TotalTimeout.count()));
+    if (Request.MayStillSend) {
+      curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, beforeRequest);
+      curl_easy_setopt(Easy, CURLOPT_PREREQDATA, &New);
+    }
     if (Request.FreshConnection) {
       curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
@@ -244,6 +248,13 @@
     curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, List);
   }
 
+  static int beforeRequest(void *Owner, char *, char *, int, int) {
+    auto *Each = static_cast<Transfer *>(Owner);
+    CallbackScope Inside(*Each->Owner);
+    return Each->Request.MayStillSend() ? CURL_PREREQFUNC_OK
+                                        : CURL_PREREQFUNC_ABORT;
+  }
+
   static std::size_t dataCallback(char *Data, std::size_t Size,
                                   std::size_t Count, void *Owner) {
     auto *Each = static_cast<Transfer *>(Owner);
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -195,6 +195,8 @@
   };
 
   bool isGivenUp() const;
+  /// Whether the newest known record is this machine's, of any incarnation.
+  bool isLatestOwn() const;
   /// When the lease may be claimed by the instance without any delay.
   base::TimePoint expiry() const;
   base::TimePoint earliestClaimTime() const;
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -52,6 +52,11 @@
          this->Latest->Token <= this->GivenUp->Token;
 }
 
+bool HolderLease::isLatestOwn() const {
+  return this->Latest && this->Latest->Holder == this->Self &&
+         this->Latest->Endpoint == this->Endpoint;
+}
+
 bool HolderLease::claimedHere() const {
   return this->Latest && !this->Latest->Released && !this->isGivenUp() &&
          this->Latest->Holder == this->Self &&
@@ -154,8 +159,8 @@
 }
 
 base::TimePoint HolderLease::earliestClaimTime() const {
-  bool OwnEarlier = this->Latest && !this->Latest->Released &&
-                    !this->isGivenUp() && this->Latest->Holder == this->Self;
+  bool OwnEarlier =
+      this->isLatestOwn() && !this->Latest->Released && !this->isGivenUp();
   // The record is from an earlier incarnation of this instance, which has
   // ended.
   if (OwnEarlier)
@@ -170,13 +175,13 @@
   bool LogIsNew = !this->Latest && this->End == LeaseLogEnd{};
   if (LogIsNew)
     return {};
-  bool IsOwn = this->Latest && this->Latest->Holder == this->Self &&
-               this->Latest->Endpoint == this->Endpoint;
   // Nobody else has held the lease since.
-  if (IsOwn && this->Latest->Incarnation == this->Incarnation)
+  if (this->isLatestOwn() && this->Latest->Incarnation == this->Incarnation)
     return this->OrderFrom;
-  if (IsOwn)
-    return this->ChangedAt + this->Latest->OrderWait;
+  // Orders of the process before may still be in transit.
+  if (this->isLatestOwn())
+    return std::max(this->ChangedAt + this->Latest->OrderWait,
+                    this->StartedAt + this->Settings.OrderTransit);
   base::TimePoint LastOrder =
       this->LastOrderAt.value_or(this->StartedAt + this->Settings.OrderTransit);
   if (this->hasOrdersUnderWay())
--- a/src/residency/tests/holderturnstest.cpp
+++ b/src/residency/tests/holderturnstest.cpp
@@ -302,6 +302,7 @@
         ++Sender.EndedOrders;
       base::TimePoint Resumed = this->Machines[Each.Holder].FrozenUntil;
       bool JustResumed = Resumed != base::TimePoint{} &&
+                         Each.ArrivesAt >= Resumed &&
                          Each.ArrivesAt < Resumed + ResumeSlack;
       if (!JustResumed)
         this->Judges[Each.Engine].onOrder(Each.Holder, Each.Token,
