--- a/apps/replay/main.cpp
+++ b/apps/replay/main.cpp
@@ -51,7 +51,9 @@
   Settings.Speed = Parsed["speed"].as<double>();
   asio::io_context Loop;
   base::SystemClock Clock;
-  auto Http = http::makeHttpClient(Loop);
+  // The answers of a whole trace's calls under way.
+  constexpr std::size_t MaxBytesUnderWay = 1U << 30U;
+  auto Http = http::makeHttpClient(Loop, {MaxBytesUnderWay});
   replay::Replayer Player(Loop, Clock, *Http, *Trace, Settings);
   int Status = 0;
   Player.start([&](const replay::Measures &Counted) {
--- a/src/agent/internal/placementpart.cpp
+++ b/src/agent/internal/placementpart.cpp
@@ -15,6 +15,7 @@
 constexpr std::chrono::milliseconds ConnectTimeout{1000};
 /// Beyond the order's deadline, for the answer's way back.
 constexpr std::chrono::milliseconds AnswerTime{2000};
+constexpr std::size_t MaxOrderAnswerBytes = 64U << 10U;
 constexpr int OkStatus = 200;
 constexpr int NotFoundStatus = 404;
 
@@ -241,6 +242,7 @@
   Request.ConnectTimeout = ConnectTimeout;
   Request.TotalTimeout = What.Deadline + AnswerTime;
   Request.FreshConnection = true;
+  Request.MaxBodyBytes = MaxOrderAnswerBytes;
   base::logEvent(base::LogLevel::Info, "placement_order",
                  {{"order", What.Id.Value},
                   {"kind", std::string(placement::orderKindName(What.Kind))},
--- a/src/cli/internal/apiclient.cpp
+++ b/src/cli/internal/apiclient.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds AnswerTimeout(5000);
+/// The status of a whole deployment.
+constexpr std::size_t MaxAnswerBytes = 64U << 20U;
 
 std::string textOf(int Code) {
   switch (static_cast<ApiErrc>(Code)) {
@@ -38,7 +40,8 @@
 }
 
 ApiClient::ApiClient(ApiAccess Access)
-    : Access(std::move(Access)), Client(http::makeHttpClient(this->Loop)) {}
+    : Access(std::move(Access)),
+      Client(http::makeHttpClient(this->Loop, {MaxAnswerBytes})) {}
 
 base::Result<nlohmann::json> ApiClient::get(const std::string &Path) {
   http::ClientRequest Request;
@@ -62,6 +65,7 @@
 base::Result<nlohmann::json> ApiClient::call(http::ClientRequest Request) {
   Request.Url = "http://" + this->Access.Agent.text() + Request.Url;
   Request.Headers.push_back({"Authorization", "Bearer " + this->Access.Token});
+  Request.MaxBodyBytes = MaxAnswerBytes;
   http::TransferResult Result;
   http::Response Whole;
   bool Done = false;
@@ -89,6 +93,11 @@
             "the agent at " + Agent +
                 " cannot be reached; check the address, or ask another "
                 "instance with --agent ADDRESS:PORT"};
+  if (Result.End == http::TransferEnd::TooLarge)
+    return {make_error_code(ApiErrc::NoAnswer),
+            "the answer of the agent at " + Agent + " is too large (" +
+                Result.Detail +
+                "); check that the address is an agent's `api` endpoint"};
   if (Result.End != http::TransferEnd::Complete)
     return {make_error_code(ApiErrc::NoAnswer),
             "the agent at " + Agent +
--- a/src/gateway/internal/traffic.cpp
+++ b/src/gateway/internal/traffic.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::milliseconds RetryLater{1000};
 constexpr std::size_t RequestIdBytes = 12;
 constexpr std::size_t MaxIdempotencyKey = 255;
+/// Heads of the answers of all calls under way, which are in the tens of
+/// thousands.
+constexpr std::size_t MaxHeadBytesUnderWay = 256U << 20U;
 
 bool isVisibleAscii(std::string_view Text) {
   return std::all_of(Text.begin(), Text.end(),
@@ -55,7 +58,7 @@
                                       Clock, ToAgent),
                            Claims(ToAgent),
                            delivery::RetryBudget(Options.Retries)},
-      Client(http::makeHttpClient(Loop)) {
+      Client(http::makeHttpClient(Loop, {MaxHeadBytesUnderWay})) {
   this->Context.Client = this->Client.get();
 }
 
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -10,6 +10,7 @@
 
 #include <asio/io_context.hpp>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -19,6 +20,13 @@
 
 namespace kingcuphub::http {
 
+/// Bytes of a response's heads; each line counts HeadLineCost beside its own.
+constexpr std::size_t DefaultMaxHeadBytes = 64U << 10U;
+/// What keeping one line of a head takes beside its bytes.
+constexpr std::size_t HeadLineCost = 256;
+/// Bytes of a body that fetch() collects.
+constexpr std::size_t DefaultMaxBodyBytes = 1U << 20U;
+
 /// How an outgoing request is made.
 struct ClientRequest {
   std::string Method = "GET";
@@ -31,6 +39,13 @@
   std::chrono::milliseconds TotalTimeout{0};
   /// Takes a new connection and does not keep it afterwards.
   bool FreshConnection = false;
+  /// Bounds all heads of the transfer together: interim ones, the final one and
+  /// the trailers.
+  std::size_t MaxHeadBytes = DefaultMaxHeadBytes;
+  /// Bounds the body in bytes; a larger Content-Length is refused at once.
+  /// Without a value fetch() applies DefaultMaxBodyBytes, and start(), which
+  /// keeps nothing, has no bound.
+  std::optional<std::size_t> MaxBodyBytes;
 };
 
 /// Why a transfer ended.
@@ -43,6 +58,8 @@
   TimedOut,
   /// The connection broke or the answer was cut short.
   Cut,
+  /// The response passed a bound and was dropped with its connection.
+  TooLarge,
   /// cancel() was called; onDone is not called.
   Cancelled,
 };
@@ -53,7 +70,7 @@
   int Status = 0;
   /// True unless no byte of the request can have left.
   bool MayHaveBeenSent = false;
-  /// libcurl's words, for the log.
+  /// For the log.
   std::string Detail;
   /// What has ended the body of a Complete transfer.
   BodyEnd EndedBy = BodyEnd::Stated;
@@ -81,12 +98,22 @@
   virtual std::size_t running() const = 0;
 
   /// start() with the answer collected whole; the response's status is 0
-  /// where none came.
+  /// where none came, and the response is empty where it was too large.
   TransferId fetch(ClientRequest Request,
                    std::function<void(const TransferResult &, Response)> Done);
 };
 
-std::unique_ptr<HttpClient> makeHttpClient(asio::io_context &Loop);
+struct HttpClientSettings {
+  /// Bytes of the heads and of the bounded bodies of all transfers under way.
+  /// An instance may call hundreds of targets at once, so that the bound of
+  /// each transfer alone would not keep it within its memory. Past this one,
+  /// the transfers that have used most of their own bounds are dropped as too
+  /// large.
+  std::size_t MaxBytesUnderWay = 32U << 20U;
+};
+
+std::unique_ptr<HttpClient> makeHttpClient(asio::io_context &Loop,
+                                           HttpClientSettings Settings = {});
 
 } // namespace kingcuphub::http
 
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -6,6 +6,7 @@
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <charconv>
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -46,6 +47,22 @@
   curl_slist *HeaderList = nullptr;
   std::vector<Header> Head;
   bool HeadDone = false;
+  /// Counted against the bounds; a body without bound is not.
+  std::size_t HeadBytes = 0;
+  std::size_t BodyBytes = 0;
+  /// Which bound was passed; empty if none.
+  std::string TooLarge;
+  /// No longer one of its client's, but not yet out of libcurl.
+  bool Taken = false;
+
+  std::size_t bytes() const { return this->HeadBytes + this->BodyBytes; }
+  /// How much of its bounds it has used.
+  double share() const {
+    return static_cast<double>(this->bytes()) /
+           static_cast<double>(std::max<std::size_t>(
+               1, this->Request.MaxHeadBytes +
+                      this->Request.MaxBodyBytes.value_or(0)));
+  }
 
   ~Transfer() {
     curl_slist_free_all(this->HeaderList);
@@ -64,12 +81,31 @@
   bool Writing = false;
 };
 
+bool hasBody(const Transfer &Of, int Status) {
+  return Of.Request.Method != "HEAD" && !isBodyless(Status);
+}
+
 bool hasStatedEnd(const Transfer &Of, int Status) {
-  return Of.Request.Method == "HEAD" || isBodyless(Status) ||
+  return !hasBody(Of, Status) ||
          !findHeader(Of.Head, "Content-Length").empty() ||
          !findHeader(Of.Head, "Transfer-Encoding").empty();
 }
 
+std::string boundText(const char *Of, std::size_t Bytes) {
+  return std::string("the ") + Of + " passed " + std::to_string(Bytes) +
+         " bytes";
+}
+
+/// libcurl hands on whole lines only and bounds a single one by itself, with a
+/// code that depends on its version.
+bool isLineTooLong(CURLcode Code) {
+#if LIBCURL_VERSION_NUM >= 0x080600
+  if (Code == CURLE_TOO_LARGE)
+    return true;
+#endif
+  return Code == CURLE_OUT_OF_MEMORY;
+}
+
 TransferEnd endOf(CURLcode Code) {
   switch (Code) {
   case CURLE_OK:
@@ -88,8 +124,9 @@
 
 class CurlClient final : public HttpClient {
 public:
-  explicit CurlClient(asio::io_context &Loop)
-      : Loop(Loop), Timer(Loop), Alive(std::make_shared<bool>(true)) {
+  CurlClient(asio::io_context &Loop, HttpClientSettings Settings)
+      : Loop(Loop), Settings(Settings), Timer(Loop),
+        Alive(std::make_shared<bool>(true)) {
     static CurlLibrary Library;
     this->Multi = curl_multi_init();
     curl_multi_setopt(this->Multi, CURLMOPT_SOCKETFUNCTION, socketCallback);
@@ -143,12 +180,10 @@
     if (Found == this->ById.end())
       return;
     CURL *Easy = Found->second;
-    this->ById.erase(Found);
-    auto Node = this->Transfers.extract(Easy);
-    Node.mapped()->Callbacks = {};
+    std::shared_ptr<Transfer> Held = this->take(Easy);
+    Held->Callbacks = {};
     // libcurl forbids removal inside its own callbacks, so the handle goes
     // from the loop.
-    std::shared_ptr<Transfer> Held = std::move(Node.mapped());
     asio::post(this->Loop, [this, Held, Live = this->Alive] {
       if (*Live)
         curl_multi_remove_handle(this->Multi, Held->Easy);
@@ -222,10 +257,85 @@
     curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, List);
   }
 
+  /// No transfer of the client's any more; nothing if it was none.
+  std::unique_ptr<Transfer> take(CURL *Easy) {
+    auto Node = this->Transfers.extract(Easy);
+    if (Node.empty())
+      return nullptr;
+    this->ById.erase(Node.mapped()->Id.Value);
+    this->BytesUnderWay -= Node.mapped()->bytes();
+    Node.mapped()->Taken = true;
+    return std::move(Node.mapped());
+  }
+
+  /// Counts \p Bytes more of a head or body. False if that passes \p Most or
+  /// has the transfer dropped.
+  bool admit(Transfer &Each, std::size_t &Counted, std::size_t Bytes,
+             std::size_t Most, const char *Part) {
+    if (!Each.TooLarge.empty())
+      return false;
+    if (Bytes > Most || Counted > Most - Bytes) {
+      this->drop(Each, boundText(Part, Most));
+      return false;
+    }
+    Counted += Bytes;
+    this->BytesUnderWay += Bytes;
+    this->keepWithinMemory();
+    return Each.TooLarge.empty();
+  }
+
+  /// False if the body that the head announces passes its bound.
+  bool admitLength(Transfer &Each, long Status) {
+    const auto &Most = Each.Request.MaxBodyBytes;
+    if (!Most || !hasBody(Each, static_cast<int>(Status)))
+      return true;
+    std::string_view Text = findHeader(Each.Head, "Content-Length");
+    std::uint64_t Length = 0;
+    auto Read =
+        std::from_chars(Text.data(), Text.data() + Text.size(), Length).ec;
+    if (Read != std::errc::result_out_of_range && Length <= *Most)
+      return true;
+    this->drop(Each, boundText("body", *Most));
+    return false;
+  }
+
+  void keepWithinMemory() {
+    while (this->BytesUnderWay > this->Settings.MaxBytesUnderWay) {
+      Transfer *Most = nullptr;
+      for (auto &[Easy, Each] : this->Transfers)
+        if (Each->TooLarge.empty() &&
+            (Most == nullptr || Each->share() > Most->share()))
+          Most = Each.get();
+      if (Most == nullptr)
+        return;
+      this->drop(*Most, boundText("bytes of all transfers",
+                                  this->Settings.MaxBytesUnderWay));
+    }
+  }
+
+  /// Ends a transfer as too large; from the loop, as libcurl forbids removal
+  /// inside its own callbacks.
+  void drop(Transfer &Each, std::string Why) {
+    Each.TooLarge = std::move(Why);
+    this->BytesUnderWay -= Each.bytes();
+    Each.HeadBytes = Each.BodyBytes = 0;
+    asio::post(this->Loop, [this, Id = Each.Id, Live = this->Alive] {
+      if (!*Live)
+        return;
+      if (auto Found = this->ById.find(Id.Value); Found != this->ById.end())
+        this->finish(Found->second, CURLE_ABORTED_BY_CALLBACK);
+    });
+  }
+
   static std::size_t dataCallback(char *Data, std::size_t Size,
                                   std::size_t Count, void *Owner) {
     auto *Each = static_cast<Transfer *>(Owner);
     CallbackScope Inside(*Each->Owner);
+    if (const auto &Most = Each->Request.MaxBodyBytes;
+        Most && !Each->Taken &&
+        !Each->Owner->admit(*Each, Each->BodyBytes, Size * Count, *Most,
+                            "body"))
+      return 0;
     if (auto OnData = Each->Callbacks.OnData)
       OnData(std::string_view(Data, Size * Count));
     return Size * Count;
@@ -234,7 +344,12 @@
   static std::size_t headerCallback(char *Data, std::size_t Size,
                                     std::size_t Count, void *Owner) {
     auto *Each = static_cast<Transfer *>(Owner);
+    CallbackScope Inside(*Each->Owner);
     std::string_view Line(Data, Size * Count);
+    if (!Each->Taken &&
+        !Each->Owner->admit(*Each, Each->HeadBytes, Line.size() + HeadLineCost,
+                            Each->Request.MaxHeadBytes, "head"))
+      return 0;
     while (!Line.empty() && (Line.back() == '\n' || Line.back() == '\r'))
       Line.remove_suffix(1);
     if (Line.substr(0, 5) == "HTTP/") {
@@ -249,7 +364,8 @@
     curl_easy_getinfo(Each->Easy, CURLINFO_RESPONSE_CODE, &Status);
     if (Status < 200 || std::exchange(Each->HeadDone, true))
       return Size * Count;
-    CallbackScope Inside(*Each->Owner);
+    if (!Each->Taken && !Each->Owner->admitLength(*Each, Status))
+      return 0;
     if (auto OnHead = Each->Callbacks.OnHead)
       OnHead(static_cast<int>(Status), Each->Head);
     return Size * Count;
@@ -351,11 +467,9 @@
   }
 
   void finish(CURL *Easy, CURLcode Code) {
-    auto Node = this->Transfers.extract(Easy);
-    if (Node.empty())
+    std::unique_ptr<Transfer> Done = this->take(Easy);
+    if (!Done)
       return;
-    std::unique_ptr<Transfer> Done = std::move(Node.mapped());
-    this->ById.erase(Done->Id.Value);
     TransferResult Result;
     Result.End = endOf(Code);
     long Status = 0;
@@ -367,6 +481,12 @@
       Result.EndedBy = BodyEnd::Connection;
     Result.MayHaveBeenSent = Sent > 0 && Code != CURLE_COULDNT_CONNECT;
     Result.Detail = curl_easy_strerror(Code);
+    if (!Done->HeadDone && isLineTooLong(Code))
+      Done->TooLarge = "a line of the head passed libcurl's bound";
+    if (!Done->TooLarge.empty()) {
+      Result.End = TransferEnd::TooLarge;
+      Result.Detail = std::move(Done->TooLarge);
+    }
     // libcurl takes the end of the connection for the end of a head.
     if (Result.End == TransferEnd::Complete && !Done->HeadDone) {
       Result.End = TransferEnd::Cut;
@@ -379,11 +499,13 @@
   }
 
   asio::io_context &Loop;
+  HttpClientSettings Settings;
   asio::steady_timer Timer;
   std::shared_ptr<bool> Alive;
   CURLM *Multi = nullptr;
   std::uint64_t LastId = 0;
   int CallbackDepth = 0;
+  std::size_t BytesUnderWay = 0;
   std::unordered_map<CURL *, std::unique_ptr<Transfer>> Transfers;
   std::unordered_map<std::uint64_t, CURL *> ById;
   std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> Watches;
@@ -394,6 +516,8 @@
 TransferId
 HttpClient::fetch(ClientRequest Request,
                   std::function<void(const TransferResult &, Response)> Done) {
+  if (!Request.MaxBodyBytes)
+    Request.MaxBodyBytes = DefaultMaxBodyBytes;
   auto Whole = std::make_shared<Response>();
   Whole->Status = 0;
   TransferCallbacks Callbacks;
@@ -405,13 +529,16 @@
   Callbacks.OnDone = [Whole,
                       Done = std::move(Done)](const TransferResult &Result) {
     Whole->EndedBy = Result.EndedBy;
+    if (Result.End == TransferEnd::TooLarge)
+      *Whole = {0, {}, "", Result.EndedBy};
     Done(Result, std::move(*Whole));
   };
   return this->start(std::move(Request), std::move(Callbacks));
 }
 
-std::unique_ptr<HttpClient> makeHttpClient(asio::io_context &Loop) {
-  return std::make_unique<CurlClient>(Loop);
+std::unique_ptr<HttpClient> makeHttpClient(asio::io_context &Loop,
+                                           HttpClientSettings Settings) {
+  return std::make_unique<CurlClient>(Loop, Settings);
 }
 
 } // namespace kingcuphub::http
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -13,6 +13,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds StopCheckInterval{50};
+/// What the answers of the store and of all engines, which may be asked at
+/// once, take together: a fifth of the smallest instance's memory.
+constexpr std::size_t MaxControlBytes = 32U << 20U;
 /// One renewal may fail before the lease lapses.
 constexpr int RenewalsPerLease = 3;
 /// The time without an open request after which a stopping instance ends.
@@ -23,7 +26,7 @@
   WholeInstance(asio::io_context &Loop, const Settings &Options,
                 Adapter NewSpeaks, const base::Clock &Clock)
       : Loop(Loop), Options(Options), Speaks(std::move(NewSpeaks)),
-        Clock(Clock), Http(http::makeHttpClient(Loop)),
+        Clock(Clock), Http(http::makeHttpClient(Loop, {MaxControlBytes})),
         Store(this->Speaks.MakeStore(Loop, *this->Http, this->Options.Store)),
         Engines(this->Speaks.MakeEngines(*this->Http)),
         Traffic(Loop, this->Options, *this->Speaks.Protocol, Clock,
--- a/src/logservice/internal/platformcall.cpp
+++ b/src/logservice/internal/platformcall.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds ConnectTimeout{500};
+/// A page of a thousand records; a read that finds more asks for fewer.
+constexpr std::size_t MaxAnswerBytes = 16U << 20U;
 constexpr int FirstErrorStatus = 500;
 constexpr int UnavailableStatus = 503;
 
@@ -37,6 +39,7 @@
   Request.Body = std::move(Body);
   Request.ConnectTimeout = ConnectTimeout;
   Request.TotalTimeout = Timeout;
+  Request.MaxBodyBytes = MaxAnswerBytes;
   this->Http.fetch(
       std::move(Request),
       [Done = std::move(Done), Live = this->Alive](
--- a/src/report/internal/collect.cpp
+++ b/src/report/internal/collect.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds AnswerTimeout(3000);
+constexpr std::size_t MaxSnapshotBytes = 16U << 20U;
+/// Of all processes of a deployment at once.
+constexpr std::size_t MaxSnapshotsBytes = 1U << 30U;
 
 void take(Collection &Into, const std::string &Source,
           const http::TransferResult &End, const http::Response &Whole) {
@@ -28,13 +31,14 @@
 
 Collection collect(const std::vector<base::Endpoint> &Sources) {
   asio::io_context Loop;
-  auto Client = http::makeHttpClient(Loop);
+  auto Client = http::makeHttpClient(Loop, {MaxSnapshotsBytes});
   Collection Out;
   std::size_t Waiting = Sources.size();
   for (const base::Endpoint &Source : Sources) {
     http::ClientRequest Request;
     Request.Url = "http://" + Source.text() + "/metrics";
     Request.TotalTimeout = AnswerTimeout;
+    Request.MaxBodyBytes = MaxSnapshotBytes;
     Client->fetch(Request,
                   [&Out, &Waiting, Source](const http::TransferResult &End,
                                            const http::Response &Whole) {
