--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -481,6 +481,9 @@
       Result.EndedBy = BodyEnd::Connection;
     Result.MayHaveBeenSent = Sent > 0 && Code != CURLE_COULDNT_CONNECT;
     Result.Detail = curl_easy_strerror(Code);
+    // The protocol of an answer that is no HTTP.
+    if (Result.End == TransferEnd::CannotConnect && Result.MayHaveBeenSent)
+      Result.End = TransferEnd::Cut;
     if (!Done->HeadDone && isLineTooLong(Code))
       Done->TooLarge = "a line of the head passed libcurl's bound";
     if (!Done->TooLarge.empty()) {
--- a/src/http/tests/endlessanswertest.cpp
+++ b/src/http/tests/endlessanswertest.cpp
@@ -56,6 +56,11 @@
     {"BodyUntilTheEnd", Head + "\r\n", "a"},
     {"BodyOfAnError", "HTTP/1.1 503 Full\r\n\r\n", "a"},
     {"Trailers", ChunkedHead + "0\r\n", "X-More: value\r\n"},
+    // What libcurl refuses by itself.
+    {"LineOfATrailer", ChunkedHead + "0\r\nX: ", "a", TransferEnd::Cut},
+    {"SizeOfAChunk", ChunkedHead, "0", TransferEnd::Cut},
+    {"EmptyLines", "", "\r\n", TransferEnd::Cut},
+    {"NoHttp", "", "\x01\x02\x03\n", TransferEnd::Cut},
 };
 
 std::string url(std::uint16_t Port) {
