--- a/src/logservice/internal/logclient.cpp
+++ b/src/logservice/internal/logclient.cpp
@@ -96,11 +96,18 @@
                        "/records?from=" + std::to_string(Where.From.Value) +
                        "&max=" + std::to_string(Where.MaxRecords) +
                        "&wait_ms=" + std::to_string(Where.Wait.count());
-    this->Caller.call(
-        "GET", Path, {}, Where.Wait + ReadTimeout,
-        [Done = std::move(Done)](base::Result<http::Response> Answer) {
-          Done(Answer.and_then(parseRead));
-        });
+    this->Caller.call("GET", Path, {}, Where.Wait + ReadTimeout,
+                      [this, Fewer = Where, Done = std::move(Done)](
+                          base::Result<http::Response> Answer) mutable {
+                        // Records vary in size; fewer of them may fit.
+                        if (!Answer &&
+                            Answer.error().Code == PlatformErrc::TooLarge &&
+                            Fewer.MaxRecords > 1) {
+                          Fewer.MaxRecords /= 2;
+                          return this->read(Fewer, std::move(Done));
+                        }
+                        Done(Answer.and_then(parseRead));
+                      });
   }
 
 private:
--- a/src/logservice/internal/platformcall.cpp
+++ b/src/logservice/internal/platformcall.cpp
@@ -17,6 +17,10 @@
     return {make_error_code(PlatformErrc::Unavailable),
             "the platform cannot be reached (" + Result.Detail +
                 "); check platform_url and the platform's health"};
+  if (Result.End == http::TransferEnd::TooLarge)
+    return {make_error_code(PlatformErrc::TooLarge),
+            "the platform's answer is too large (" + Result.Detail +
+                "); the call may have had its effect, check platform_url"};
   return {make_error_code(PlatformErrc::AnswerLost),
           "the platform's answer was lost (" + Result.Detail +
               "); the call may have had its effect, read to find out"};
--- a/src/logservice/internal/platformerror.cpp
+++ b/src/logservice/internal/platformerror.cpp
@@ -12,6 +12,8 @@
     return "answer lost";
   case PlatformErrc::BadAnswer:
     return "bad answer from the platform";
+  case PlatformErrc::TooLarge:
+    return "answer too large";
   }
   return "unknown platform error";
 }
--- a/src/logservice/platformerror.h
+++ b/src/logservice/platformerror.h
@@ -15,6 +15,8 @@
   AnswerLost,
   /// The answer is not what the platform's interface says.
   BadAnswer,
+  /// The answer passed the caller's bound; the call may have had its effect.
+  TooLarge,
 };
 std::error_code make_error_code(PlatformErrc Kind);
 
--- a/src/logservice/tests/logclienttest.cpp
+++ b/src/logservice/tests/logclienttest.cpp
@@ -90,6 +90,31 @@
   EXPECT_EQ(Page.Records[0].Data, "abc");
 }
 
+TEST(LogClientTest, APageThatIsTooLargeIsReadInParts) {
+  http::TransferResult TooLarge{http::TransferEnd::TooLarge, 200, true, "why"};
+  ScriptedHttp Http;
+  Http.Answers = {{TooLarge, 0, ""},
+                  {TooLarge, 0, ""},
+                  {{}, 200, R"({"first":1,"next":3,"tail":9,"records":[]})"}};
+  base::Result<LogAnswer> Got = base::fail(PlatformErrc::BadAnswer, "none yet");
+  auto Take = [&Got](base::Result<LogAnswer> Answer) {
+    Got = std::move(Answer);
+  };
+  auto Log = makeLogClient(Http, "http://p");
+  Log->read({"config", {3}, 10, std::chrono::milliseconds(5)}, Take);
+  ASSERT_TRUE(Got) << Got.error().Message;
+  ASSERT_EQ(Http.Requests.size(), 3U);
+  EXPECT_EQ(Http.Requests[2].Url,
+            "http://p/v1/streams/config/records?from=3&max=2&wait_ms=5");
+  EXPECT_TRUE(Http.Requests[0].MaxBodyBytes.has_value());
+  // One record that is too large by itself is an error.
+  Http.Answers = {{TooLarge, 0, ""}, {TooLarge, 0, ""}};
+  Log->read({"config", {3}, 2, std::chrono::milliseconds(5)}, Take);
+  ASSERT_FALSE(Got);
+  EXPECT_EQ(Got.error().Code, PlatformErrc::TooLarge);
+  EXPECT_NE(Got.error().Message.find("why"), std::string::npos);
+}
+
 TEST(LogClientTest, AnExpiredOffsetNamesTheFirstKept) {
   auto Answer = readWith(410, R"({"first":12})");
   ASSERT_TRUE(Answer);
