--- a/src/logservice/internal/platformcall.cpp
+++ b/src/logservice/internal/platformcall.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds ConnectTimeout{500};
+/// A page of a thousand records; a read that finds more asks for fewer.
+constexpr std::size_t MaxAnswerBytes = 16U << 20U;
 constexpr int FirstErrorStatus = 500;
 constexpr int UnavailableStatus = 503;
 
@@ -15,6 +17,10 @@
     return {make_error_code(PlatformErrc::Unavailable),
             "the platform cannot be reached (" + Result.Detail +
                 "); check platform_url and the platform's health"};
+  if (Result.End == http::TransferEnd::TooLarge)
+    return {make_error_code(PlatformErrc::TooLarge),
+            "the platform's answer is too large (" + Result.Detail +
+                "); the call may have had its effect, check platform_url"};
   return {make_error_code(PlatformErrc::AnswerLost),
           "the platform's answer was lost (" + Result.Detail +
               "); the call may have had its effect, read to find out"};
@@ -37,6 +43,7 @@
   Request.Body = std::move(Body);
   Request.ConnectTimeout = ConnectTimeout;
   Request.TotalTimeout = Timeout;
+  Request.MaxBodyBytes = MaxAnswerBytes;
   this->Http.fetch(
       std::move(Request),
       [Done = std::move(Done), Live = this->Alive](
