One bound on all of a message that is not its body

A faulty target that answers with header lines without end took 55.6 MB of the heap with fifty requests at once: a line of "a:" counted as one byte. One that puts long extensions on chunks of one byte was never ended: its requests got no answer within the 10 s of the test (by reading, until their deadline), and it did not count as faulty. Callers could send us the same; empty lines, spaces, chunk sizes and trailers were bounded only by http_parser's own 80 KB a part, whatever the limit in the settings.

Cause: MessageParser counted the bytes of names, values and the target, and nothing else; interim responses were counted by the forwarding connection.

MessageParser now counts every byte from the end of the last message that is not body: empty lines, interim responses (which it skips itself), the head, chunk extensions and trailers. The framing of a chunk is free up to 20 bytes, so that a stream of small chunks is no head. A head has at most 256 lines. A request over the bound gets 431 as before, and a response over it ends as Malformed, which the selector counts as a failure of the target. The bound on a request's head now includes the bytes between names and values.

--- a/src/forwarding/tests/forwarderfixture.h
+++ b/src/forwarding/tests/forwarderfixture.h
@@ -147,7 +147,7 @@
       catalog::Target Target;
       Target.Entry.Id = {"t" + std::to_string(Index) + this->TargetSuffix};
       Target.Entry.Service = {"s"};
-      Target.Entry.Slots = 4;
+      Target.Entry.Slots = this->Slots;
       if (!this->Model.empty())
         Target.Entry.Models[{this->Model}] = {};
       Target.Entry.Address = {"127.0.0.1", this->targetPort(Index)};
@@ -260,6 +260,8 @@
   std::size_t HeldLimit = 8192;
   /// Over all instances, of which the forwarder is one of some.
   double ExtraRetries = 50;
+  /// Of each target.
+  unsigned Slots = 4;
   /// Targets of other names have no failures from before.
   std::string TargetSuffix;
   /// Held by every target; requests of RawTargetTest name it.
--- a/src/http/forwardclient.h
+++ b/src/http/forwardclient.h
@@ -108,6 +108,7 @@
   std::chrono::milliseconds DefaultIdle{500};
   /// The part of a stated timeout for which a connection is used again.
   double IdleShare = 0.7;
+  /// Of all of a response that is not its body, as MessageParser counts it.
   std::size_t MaxHeadBytes = 32U << 10U;
 };
 
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -26,6 +26,7 @@
 /// is answered with 413 or 431 and ends its connection.
 struct CallerLimits {
   std::size_t MaxBodyBytes = 16U << 20U;
+  /// Of all of a request that is not its body, as MessageParser counts it.
   std::size_t MaxHeaderBytes = 16U << 10U;
   /// The longest time that a caller may take to send one whole request.
   std::chrono::milliseconds ReadTimeout{10000};
--- a/src/http/internal/forwardconnection.cpp
+++ b/src/http/internal/forwardconnection.cpp
@@ -116,13 +116,11 @@
                          ForwardCallbacks NewCallbacks) {
   ++this->Calls;
   this->Callbacks = std::move(NewCallbacks);
-  this->HeadRequest = Request.Method == "HEAD";
   this->Outgoing = requestBytes(Request);
   this->Sending = false;
   this->RequestSent = false;
   this->Paused = false;
-  this->InterimBytes = 0;
-  this->Parser.reset(!this->HeadRequest);
+  this->Parser.reset(Request.Method != "HEAD");
   if (this->At == Phase::Idle) {
     this->Reused = true;
     this->sendRequest();
@@ -225,36 +223,19 @@
 }
 
 void ForwardConnection::onBytes(std::string_view Bytes) {
-  while (!Bytes.empty()) {
-    MessageParser::Progress Done = this->Parser.feed(Bytes);
-    if (this->At != Phase::Busy)
-      return;
-    Bytes.remove_prefix(Done.Consumed);
-    if (Done.Failed) {
-      this->end(ForwardEnd::Malformed, Done.Failed.message());
-      return;
-    }
-    if (!Done.Complete)
-      return;
-    if (!std::exchange(this->Interim, false)) {
-      this->onComplete(!Bytes.empty());
-      return;
-    }
-    // Heads that are followed by another one may come without end.
-    this->InterimBytes += Done.Consumed;
-    if (this->InterimBytes > this->Settings.MaxHeadBytes) {
-      this->end(ForwardEnd::Malformed, "interim heads without end");
-      return;
-    }
-    this->Parser.reset(!this->HeadRequest);
+  MessageParser::Progress Done = this->Parser.feed(Bytes);
+  if (this->At != Phase::Busy)
+    return;
+  Bytes.remove_prefix(Done.Consumed);
+  if (Done.Failed) {
+    this->end(ForwardEnd::Malformed, Done.Failed.message());
+    return;
   }
+  if (Done.Complete)
+    this->onComplete(!Bytes.empty());
 }
 
 void ForwardConnection::onHead(MessageHead Head) {
-  constexpr int FirstFinalStatus = 200;
-  this->Interim = Head.Status < FirstFinalStatus;
-  if (this->Interim)
-    return;
   this->KeepAlive = Head.KeepAlive;
   this->IdleFor = this->idleTime(Head);
   if (this->Callbacks.OnHead)
--- a/src/http/internal/forwardconnection.h
+++ b/src/http/internal/forwardconnection.h
@@ -68,9 +68,6 @@
   /// The calls that were started here, so that an old handle does nothing.
   std::uint64_t Calls = 0;
   Phase At = Phase::New;
-  bool Interim = false;
-  std::size_t InterimBytes = 0;
-  bool HeadRequest = false;
   bool KeepAlive = false;
   bool RequestSent = false;
   bool Sending = false;
--- a/src/http/internal/messageparser.cpp
+++ b/src/http/internal/messageparser.cpp
@@ -18,7 +18,7 @@
   case ParseErrc::AmbiguousLength:
     return "ambiguous length of the body";
   case ParseErrc::HeadTooLarge:
-    return "head too large";
+    return "head, chunk extensions or trailers too large";
   case ParseErrc::Truncated:
     return "the connection ended inside the message";
   }
@@ -27,6 +27,11 @@
 
 const base::EnumCategory Category("http-parse", textOf);
 
+/// Longest framing of a chunk that is not counted: a size of 16 digits and two
+/// ends of line.
+constexpr std::size_t PlainChunkBytes = 20;
+constexpr int FirstFinalStatus = 200;
+
 std::string_view trimmed(std::string_view Text) {
   while (!Text.empty() && (Text.front() == ' ' || Text.front() == '\t'))
     Text.remove_prefix(1);
@@ -68,34 +73,25 @@
   }
 
   void reset(bool NewBodyExpected) {
-    http_parser_init(&this->Raw, this->Kind == MessageKind::Request
-                                     ? HTTP_REQUEST
-                                     : HTTP_RESPONSE);
-    this->Raw.data = this;
-    this->Head = {};
-    this->HeadBytes = 0;
-    this->ValueBegun = true;
     this->BodyExpected = NewBodyExpected;
     this->Begun = false;
-    this->HeadDone = false;
     this->Complete = false;
     this->Failed = {};
+    this->Overhead = 0;
+    this->beginHead();
   }
 
   Progress feed(std::string_view Bytes) {
     if (this->Complete || this->Failed || Bytes.empty())
       return {0, this->Complete, this->Failed};
-    std::size_t Consumed = http_parser_execute(&this->Raw, &callbacks(),
-                                               Bytes.data(), Bytes.size());
-    auto Error = HTTP_PARSER_ERRNO(&this->Raw);
-    if (!this->Failed && Error == HPE_HEADER_OVERFLOW)
-      this->Failed = make_error_code(ParseErrc::HeadTooLarge);
-    if (!this->Failed && (Error == HPE_UNEXPECTED_CONTENT_LENGTH ||
-                          Error == HPE_INVALID_TRANSFER_ENCODING ||
-                          Error == HPE_INVALID_CONTENT_LENGTH))
-      this->Failed = make_error_code(ParseErrc::AmbiguousLength);
-    if (!this->Failed && Error != HPE_OK && Error != HPE_PAUSED)
-      this->Failed = make_error_code(ParseErrc::Malformed);
+    std::size_t Consumed = 0;
+    do {
+      Consumed += this->parse(Bytes.substr(Consumed));
+      if (std::exchange(this->InterimDone, false)) {
+        this->Overhead += this->Framing;
+        this->beginHead();
+      }
+    } while (!this->Complete && !this->Failed && Consumed < Bytes.size());
     return {Consumed, this->Complete, this->Failed};
   }
 
@@ -114,6 +110,36 @@
   std::size_t MaxHeadBytes;
 
 private:
+  /// Also after an interim response, which shares its bound with the final one.
+  void beginHead() {
+    http_parser_init(&this->Raw, this->Kind == MessageKind::Request
+                                     ? HTTP_REQUEST
+                                     : HTTP_RESPONSE);
+    this->Raw.data = this;
+    this->Head = {};
+    this->Framing = 0;
+    this->ValueBegun = true;
+    this->HeadDone = false;
+  }
+
+  std::size_t parse(std::string_view Bytes) {
+    this->Reached = Bytes.data();
+    std::size_t Consumed = http_parser_execute(&this->Raw, &callbacks(),
+                                               Bytes.data(), Bytes.size());
+    auto Error = HTTP_PARSER_ERRNO(&this->Raw);
+    if (Error == HPE_OK || Error == HPE_PAUSED)
+      this->countTo(Bytes.data() + Consumed);
+    if (!this->Failed && Error == HPE_HEADER_OVERFLOW)
+      this->Failed = make_error_code(ParseErrc::HeadTooLarge);
+    if (!this->Failed && (Error == HPE_UNEXPECTED_CONTENT_LENGTH ||
+                          Error == HPE_INVALID_TRANSFER_ENCODING ||
+                          Error == HPE_INVALID_CONTENT_LENGTH))
+      this->Failed = make_error_code(ParseErrc::AmbiguousLength);
+    if (!this->Failed && Error != HPE_OK && Error != HPE_PAUSED)
+      this->Failed = make_error_code(ParseErrc::Malformed);
+    return Consumed;
+  }
+
   static State &of(http_parser *Raw) {
     return *static_cast<State *>(Raw->data);
   }
@@ -129,6 +155,9 @@
       Out.on_url = [](http_parser *Raw, const char *At, std::size_t Size) {
         return of(Raw).onTarget({At, Size});
       };
+      Out.on_status = [](http_parser *Raw, const char *At, std::size_t Size) {
+        return of(Raw).countTo(At + Size);
+      };
       Out.on_header_field = [](http_parser *Raw, const char *At,
                                std::size_t Size) {
         return of(Raw).onName({At, Size});
@@ -141,11 +170,10 @@
         return of(Raw).onHeadComplete();
       };
       Out.on_body = [](http_parser *Raw, const char *At, std::size_t Size) {
-        of(Raw).Take.OnBody({At, Size});
-        return 0;
+        return of(Raw).onBody({At, Size});
       };
       Out.on_message_complete = [](http_parser *Raw) {
-        of(Raw).Complete = true;
+        of(Raw).onComplete();
         http_parser_pause(Raw, 1);
         return 0;
       };
@@ -154,35 +182,74 @@
     return Settings;
   }
 
-  int countHead(std::size_t Size) {
-    this->HeadBytes += Size;
-    if (this->HeadBytes <= this->MaxHeadBytes)
+  /// Counts the bytes up to \p End, none of which are body. Returns what a
+  /// callback returns: 0 to go on.
+  int countTo(const char *End) {
+    auto Size = static_cast<std::size_t>(End - this->Reached);
+    this->Reached = End;
+    (this->HeadDone ? this->Framing : this->Overhead) += Size;
+    if (this->Overhead + this->extraFraming() <= this->MaxHeadBytes)
       return 0;
-    this->Failed = make_error_code(ParseErrc::HeadTooLarge);
+    return this->failTooLarge();
+  }
+
+  /// Bytes since the last piece of the body that a plain chunk would not have.
+  std::size_t extraFraming() const {
+    return this->Framing - std::min(this->Framing, PlainChunkBytes);
+  }
+
+  int failTooLarge() {
+    if (!this->Failed)
+      this->Failed = make_error_code(ParseErrc::HeadTooLarge);
     return 1;
   }
 
   int onTarget(std::string_view Piece) {
     this->Head.Target.append(Piece);
-    return this->countHead(Piece.size());
+    return this->countTo(Piece.data() + Piece.size());
   }
 
   int onName(std::string_view Piece) {
     // Trailers follow the body; nothing here uses them.
-    if (this->HeadDone)
-      return 0;
-    if (std::exchange(this->ValueBegun, false))
-      this->Head.Headers.emplace_back();
-    this->Head.Headers.back().Name.append(Piece);
-    return this->countHead(Piece.size());
+    if (!this->HeadDone) {
+      if (std::exchange(this->ValueBegun, false)) {
+        if (this->Head.Headers.size() == MaxHeaderLines)
+          return this->failTooLarge();
+        this->Head.Headers.emplace_back();
+      }
+      this->Head.Headers.back().Name.append(Piece);
+    }
+    return this->countTo(Piece.data() + Piece.size());
   }
 
   int onValue(std::string_view Piece) {
-    if (this->HeadDone)
-      return 0;
-    this->ValueBegun = true;
-    this->Head.Headers.back().Value.append(Piece);
-    return this->countHead(Piece.size());
+    if (!this->HeadDone) {
+      this->ValueBegun = true;
+      this->Head.Headers.back().Value.append(Piece);
+    }
+    return this->countTo(Piece.data() + Piece.size());
+  }
+
+  int onBody(std::string_view Piece) {
+    if (int Stop = this->countTo(Piece.data()); Stop != 0)
+      return Stop;
+    this->Overhead += this->extraFraming();
+    this->Framing = 0;
+    this->Reached = Piece.data() + Piece.size();
+    this->Take.OnBody(Piece);
+    return 0;
+  }
+
+  void onComplete() {
+    if (this->isInterim())
+      this->InterimDone = true;
+    else
+      this->Complete = true;
+  }
+
+  bool isInterim() const {
+    return this->Kind == MessageKind::Response &&
+           this->Raw.status_code < FirstFinalStatus;
   }
 
   int onHeadComplete() {
@@ -196,6 +263,8 @@
       this->Failed = make_error_code(ParseErrc::Malformed);
       return -1;
     }
+    if (this->isInterim())
+      return SkipBody;
     if (this->Kind == MessageKind::Request)
       this->Head.Method =
           http_method_str(static_cast<http_method>(this->Raw.method));
@@ -226,12 +295,18 @@
   Handlers Take;
   http_parser Raw{};
   MessageHead Head;
-  std::size_t HeadBytes = 0;
+  /// Up to where the bytes of this call are counted.
+  const char *Reached = nullptr;
+  /// Bytes since the last message that are not body, without plain chunks.
+  std::size_t Overhead = 0;
+  /// Of these, those since the head or the last piece of the body.
+  std::size_t Framing = 0;
   /// The last header has its value, so that the next name begins another.
   bool ValueBegun = true;
   bool BodyExpected = true;
   bool Begun = false;
   bool HeadDone = false;
+  bool InterimDone = false;
   bool Complete = false;
   std::error_code Failed;
 };
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -25,6 +25,7 @@
   Malformed = 1,
   /// More than one way to tell where the body ends.
   AmbiguousLength,
+  /// More bytes besides the body than allowed, or more header lines.
   HeadTooLarge,
   /// The connection ended inside the message.
   Truncated,
@@ -56,6 +57,9 @@
   }
 };
 
+/// Largest number of header lines of a head.
+constexpr std::size_t MaxHeaderLines = 256;
+
 enum class MessageKind { Request, Response };
 
 /// Parses one message after another in one direction of a connection.
@@ -73,6 +77,9 @@
     std::error_code Failed;
   };
 
+  /// \p MaxHeadBytes bounds all bytes of a message that are not its body: empty
+  /// lines before it, interim responses, which are skipped, the head, chunk
+  /// extensions and trailers. The framing of plain chunks is not counted.
   MessageParser(MessageKind Kind, std::size_t MaxHeadBytes, Handlers Take);
   ~MessageParser();
   MessageParser(const MessageParser &) = delete;
--- a/src/http/tests/messageparsertest.cpp
+++ b/src/http/tests/messageparsertest.cpp
@@ -1,5 +1,6 @@
 #include "http/messageparser.h"
 
+#include <array>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -35,6 +36,51 @@
                                      "Transfer-Encoding: chunked\r\n\r\n"
                                      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
 
+struct WithoutEnd {
+  std::string_view Name;
+  MessageKind Kind;
+  std::string_view Begin;
+  std::string_view Repeated;
+};
+
+constexpr std::string_view ChunkedRequest =
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::string_view ChunkedResponse =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::string_view ChunkedResponseEnd =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+
+constexpr std::array PartsWithoutEnd = {
+    WithoutEnd{"empty lines", MessageKind::Request, "", "\r\n"},
+    WithoutEnd{"target", MessageKind::Request, "GET /", "a"},
+    WithoutEnd{"spaces", MessageKind::Request, "GET ", " "},
+    WithoutEnd{"headers", MessageKind::Request, "GET / HTTP/1.1\r\n",
+               "a: b\r\n"},
+    WithoutEnd{"folded value", MessageKind::Request,
+               "GET / HTTP/1.1\r\na: b\r\n", " \r\n"},
+    WithoutEnd{"extension", MessageKind::Request, ChunkedRequest, "1;"},
+    WithoutEnd{"extensions", MessageKind::Request, ChunkedRequest,
+               "1;aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\nx\r\n"},
+    WithoutEnd{"empty lines", MessageKind::Response, "", "\r\n"},
+    WithoutEnd{"reason", MessageKind::Response, "HTTP/1.1 200 ", "a"},
+    WithoutEnd{"headers", MessageKind::Response, "HTTP/1.1 200 OK\r\n",
+               "a: b\r\n"},
+    WithoutEnd{"value", MessageKind::Response, "HTTP/1.1 200 OK\r\na: ", "b"},
+    WithoutEnd{"name", MessageKind::Response, "HTTP/1.1 200 OK\r\n", "a"},
+    WithoutEnd{"interim heads", MessageKind::Response, "",
+               "HTTP/1.1 103 Early Hints\r\n\r\n"},
+    WithoutEnd{"interim heads of one line", MessageKind::Response, "",
+               "HTTP/1.1 103\r\n\r\n"},
+    WithoutEnd{"chunk size", MessageKind::Response, ChunkedResponse, "0"},
+    WithoutEnd{"extension", MessageKind::Response, ChunkedResponse, "1;"},
+    WithoutEnd{"extensions", MessageKind::Response, ChunkedResponse,
+               "1;aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\nx\r\n"},
+    WithoutEnd{"trailers", MessageKind::Response, ChunkedResponseEnd,
+               "a: b\r\n"},
+    WithoutEnd{"trailer value", MessageKind::Response, ChunkedResponseEnd,
+               "a: bbbbbbbbbbbbbbbbbbbbbbbbbbbb"},
+};
+
 } // namespace
 
 RC_GTEST_PROP(MessageParserTest, TheSameMessageComesOutOfAnyPieces, ()) {
@@ -72,6 +118,68 @@
   EXPECT_EQ(Asked.feed(Bytes, 10).Failed, ParseErrc::HeadTooLarge);
 }
 
+/// In the parts of a message that are not body; a slow peer sends byte by byte.
+TEST(MessageParserTest, BytesWithoutEndAreRefusedInEveryPart) {
+  constexpr std::size_t MaxHeadBytes = 4096;
+  constexpr std::size_t Endless = 1U << 20U;
+  for (const WithoutEnd &Part : PartsWithoutEnd) {
+    for (std::size_t Piece : {std::size_t{1}, std::size_t{16384}}) {
+      Parsed Got(Part.Kind, MaxHeadBytes);
+      std::string Bytes(Part.Begin);
+      while (Bytes.size() < Endless)
+        Bytes.append(Part.Repeated);
+      auto End = Got.feed(Bytes, Piece);
+      EXPECT_EQ(End.Failed, ParseErrc::HeadTooLarge) << Part.Name;
+      EXPECT_LE(End.Consumed, 2 * MaxHeadBytes + Piece) << Part.Name;
+    }
+  }
+}
+
+TEST(MessageParserTest, ManyShortLinesAreRefused) {
+  constexpr std::size_t MaxHeadBytes = 32768;
+  for (MessageKind Kind : {MessageKind::Request, MessageKind::Response}) {
+    Parsed Got(Kind, MaxHeadBytes);
+    std::string Bytes = Kind == MessageKind::Request ? "GET / HTTP/1.1\r\n"
+                                                     : "HTTP/1.1 200 OK\r\n";
+    for (std::size_t Line = 0; Line < 2 * MaxHeaderLines; ++Line)
+      Bytes += "a:\r\n";
+    EXPECT_EQ(Got.feed(Bytes + "\r\n", 16384).Failed, ParseErrc::HeadTooLarge);
+  }
+}
+
+/// Of a stream with an event a chunk, most bytes are framing.
+TEST(MessageParserTest, ManySmallChunksAreNoHead) {
+  constexpr std::size_t MaxHeadBytes = 1024;
+  constexpr std::size_t Count = 4 * MaxHeadBytes;
+  for (std::string_view Chunk : {"1\r\nx\r\n", "00000001\r\nx\r\n"}) {
+    Parsed Got(MessageKind::Response, MaxHeadBytes);
+    std::string Bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t Each = 0; Each < Count; ++Each)
+      Bytes.append(Chunk);
+    EXPECT_TRUE(Got.feed(Bytes + "0\r\n\r\n", 7).Complete) << Chunk;
+    EXPECT_EQ(Got.Body.size(), Count) << Chunk;
+  }
+}
+
+TEST(MessageParserTest, InterimResponsesAreFollowedByTheFinalOne) {
+  std::string Bytes = "HTTP/1.1 100 Continue\r\n\r\n"
+                      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+                      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+  for (std::size_t Piece = 1; Piece <= Bytes.size(); ++Piece) {
+    Parsed Got(MessageKind::Response);
+    auto End = Got.feed(Bytes, Piece);
+    EXPECT_TRUE(End.Complete) << Piece;
+    EXPECT_EQ(End.Consumed, Bytes.size()) << Piece;
+    EXPECT_EQ(Got.Head.Status, 200) << Piece;
+    EXPECT_TRUE(Got.Head.header("Link").empty()) << Piece;
+    EXPECT_EQ(Got.Body, "abc") << Piece;
+  }
+  Parsed Cut(MessageKind::Response);
+  Cut.feed("HTTP/1.1 100 Continue\r\n\r\n", 100);
+  EXPECT_TRUE(Cut.Parser.inMessage());
+  EXPECT_EQ(Cut.Parser.finish().Failed, ParseErrc::Truncated);
+}
+
 TEST(MessageParserTest, AResponseWithoutALengthEndsWithItsConnection) {
   Parsed Got(MessageKind::Response);
   EXPECT_FALSE(Got.feed("HTTP/1.1 200 OK\r\n\r\nabc", 7).Complete);
--- a/standins/common/rawconnection.cpp
+++ b/standins/common/rawconnection.cpp
@@ -1,5 +1,6 @@
 #include "common/rawconnection.h"
 
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <utility>
 
@@ -36,6 +37,24 @@
   asio::write(this->Socket, asio::buffer(Bytes), Ignored);
 }
 
+void RawConnection::writeWithoutEnd(std::shared_ptr<const std::string> Piece,
+                                    std::chrono::milliseconds Pause) {
+  auto Timer =
+      std::make_shared<asio::steady_timer>(this->Socket.get_executor(), Pause);
+  Timer->async_wait([Self = this->shared_from_this(), Timer, Piece,
+                     Pause](asio::error_code Failed) {
+    if (Failed || !Self->Socket.is_open())
+      return;
+    asio::async_write(
+        Self->Socket, asio::buffer(*Piece),
+        [Self, Piece, Pause](asio::error_code WriteFailed, std::size_t Size) {
+          Self->WrittenWithoutEnd += Size;
+          if (!WriteFailed)
+            Self->writeWithoutEnd(Piece, Pause);
+        });
+  });
+}
+
 void RawConnection::close() {
   asio::error_code Ignored;
   this->Socket.shutdown(tcp::socket::shutdown_send, Ignored);
--- a/standins/common/rawconnection.h
+++ b/standins/common/rawconnection.h
@@ -12,8 +12,11 @@
 
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace kingcuphub::standin {
@@ -29,6 +32,12 @@
 
   /// For answers that fit into the socket's buffer.
   void write(std::string_view Bytes);
+  /// Writes \p Piece again and again until the connection ends, each time after
+  /// \p Pause.
+  void writeWithoutEnd(std::shared_ptr<const std::string> Piece,
+                       std::chrono::milliseconds Pause);
+  /// Bytes that the system has taken of writeWithoutEnd().
+  std::size_t writtenWithoutEnd() const { return this->WrittenWithoutEnd; }
   /// Ends the connection in order, after what has been written.
   void close();
   /// Ends the connection in both directions, after what has been written.
@@ -50,6 +59,7 @@
   http::Request Incoming;
   std::array<char, 16384> Buffer{};
   unsigned Requests = 0;
+  std::size_t WrittenWithoutEnd = 0;
   bool PeerGone = false;
 };
 
