Empty lines do not keep a caller's connection

A caller that sends an empty line now and then kept its connection for as long as it liked: each one restarted the idle time, as if a request had begun. Connections held that way cost memory and descriptors.

ServerConnection restarted the time before it parsed what had been read. It does so now only if a request has begun with it. A request that is under way has its read time-out as before.

EmptyLinesDoNotKeepAConnection failed before: with an idle time-out of 300 ms and a line each 50 ms the connection was open after 4 s.

--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -250,12 +250,13 @@
   auto Alive = this->shared_from_this();
   if (this->Backlog.empty())
     return;
-  if (!this->Parser.inMessage())
-    this->Since = SteadyClock::now();
+  bool WasInMessage = this->Parser.inMessage();
   std::string Bytes = std::exchange(this->Backlog, {});
   MessageParser::Progress Done = this->Parser.feed(Bytes);
   if (this->At != Phase::Reading)
     return;
+  if (!WasInMessage && this->Parser.inMessage())
+    this->Since = SteadyClock::now();
   this->Backlog = Bytes.substr(Done.Consumed);
   if (Done.Failed) {
     constexpr int HeadTooLarge = 431;
--- a/src/http/tests/callerlimitstest.cpp
+++ b/src/http/tests/callerlimitstest.cpp
@@ -117,3 +117,17 @@
     }
   }
 }
+
+TEST_F(CallerLimitsTest, EmptyLinesDoNotKeepAConnection) {
+  CallerLimits Limits;
+  Limits.IdleTimeout = std::chrono::milliseconds(300);
+  this->serve(Limits);
+  auto Caller = this->call();
+  auto Deadline = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+  while (Caller->ending() == RawCaller::Ending::Open &&
+         std::chrono::steady_clock::now() < Deadline) {
+    Caller->send("\r\n");
+    this->Loop.run_for(std::chrono::milliseconds(50));
+  }
+  EXPECT_NE(Caller->ending(), RawCaller::Ending::Open);
+}
