Guard what is kept of bodies without end

A body may be of any length and is passed on as it comes: its reader's pace must hold its target back. An event of a resumable stream and a refusal have no use beyond MaxPieceBytes.

ABodyWithoutEndWaitsForItsReader sends seven kinds of bodies on streaming and other routes to callers that do not read, then read, then leave.

--- a/src/forwarding/tests/endlessanswertest.cpp
+++ b/src/forwarding/tests/endlessanswertest.cpp
@@ -1,6 +1,7 @@
 #include "rawtargetfixture.h"
 
 #include <algorithm>
+#include <asio/write.hpp>
 #include <malloc.h>
 
 using namespace kingcuphub;
@@ -67,6 +68,49 @@
   std::size_t Peak = Begin;
 };
 
+/// A caller that reads only when it is told to.
+class SlowCaller {
+public:
+  SlowCaller(asio::io_context &Loop, std::uint16_t Port) : Socket(Loop) {
+    this->Socket.open(asio::ip::tcp::v4());
+    this->Socket.set_option(asio::socket_base::receive_buffer_size(16384));
+    this->Socket.connect({asio::ip::address_v4::loopback(), Port});
+    this->Socket.non_blocking(true);
+  }
+
+  void send(const std::string &Bytes) {
+    asio::write(this->Socket, asio::buffer(Bytes));
+  }
+
+  void read() {
+    std::array<char, 65536> Buffer{};
+    asio::error_code Ignored;
+    // There may be nothing to read yet.
+    this->Socket.read_some(asio::buffer(Buffer), Ignored);
+  }
+
+private:
+  asio::ip::tcp::socket Socket;
+};
+
+struct Body {
+  const char *Name;
+  const char *Framing;
+  const char *Repeated;
+};
+
+const std::array Bodies = {
+    Body{"until the connection ends", Unframed, "abc"},
+    Body{"chunks", Chunked, "3\r\nabc\r\n"},
+    Body{"length", "Content-Length: 1000000000000\r\n", "abc"},
+    Body{"events", Unframed, "id: 1\ndata: x\n\n"},
+    Body{"events in chunks",
+         "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n",
+         "f\r\nid: 1\ndata: x\n\n\r\n"},
+    Body{"event", "Content-Type: text/event-stream\r\n", "data: x\n"},
+    Body{"line", "Content-Type: text/event-stream\r\n", "x"},
+};
+
 /// The first target answers without end, the second one as it should.
 class EndlessAnswerTest : public RawTargetTest {
 protected:
@@ -171,6 +215,13 @@
                        [](const auto &Each) { return Each->peerGone(); });
   }
 
+  std::size_t written() const {
+    std::size_t Sum = 0;
+    for (const auto &Each : this->Endless)
+      Sum += Each->writtenWithoutEnd();
+    return Sum;
+  }
+
   Behaviour Answer;
   std::vector<std::shared_ptr<RawConnection>> Endless;
   std::vector<http::Request> EndlessAsked;
@@ -232,3 +283,77 @@
     EXPECT_LE(this->Endless.size(), Requests / 4) << Part.Name;
   }
 }
+
+/// A body may be of any length; its reader's pace holds its target back.
+TEST_F(EndlessAnswerTest, ABodyWithoutEndWaitsForItsReader) {
+  constexpr std::size_t Readers = 4;
+  constexpr milliseconds Still{200};
+  // A string may have room for twice its size.
+  const ForwarderSettings Limits;
+  const std::size_t MaxBytes =
+      Readers *
+      (MaxBytesPerRequest + 2 * (Limits.MaxUnsentBytes + Limits.MaxPieceBytes));
+  for (bool Streaming : {false, true}) {
+    for (const Body &Sent : Bodies) {
+      std::string Case =
+          std::string(Sent.Name) + (Streaming ? ", streaming" : "");
+      this->restart(catalog::Repetition::Never, Streaming);
+      this->onlyOneTarget();
+      this->Answer = withoutEnd({Sent.Name, Sent.Framing, "", Sent.Repeated},
+                                FastPiece, AtOnce);
+      std::vector<std::unique_ptr<SlowCaller>> Asking;
+      for (std::size_t Each = 0; Each < Readers; ++Each) {
+        Asking.push_back(std::make_unique<SlowCaller>(
+            this->Loop, this->FrontServer->port()));
+        Asking.back()->send(this->request());
+      }
+      std::size_t Before = 0;
+      auto MovedAt = std::chrono::steady_clock::now();
+      EXPECT_TRUE(this->runUntil([&] {
+        auto Now = std::chrono::steady_clock::now();
+        if (std::exchange(Before, this->written()) != this->written())
+          MovedAt = Now;
+        return this->Endless.size() == Readers && Before > 0 &&
+               Now > MovedAt + Still;
+      })) << Case;
+      EXPECT_LE(this->Heap.bytes(), MaxBytes) << Case;
+      EXPECT_TRUE(this->runUntil([&] {
+        for (const auto &Each : Asking)
+          Each->read();
+        return this->written() > Before + Readers * FastPiece;
+      })) << Case;
+      EXPECT_LE(this->Heap.bytes(), MaxBytes) << Case;
+      Asking.clear();
+      EXPECT_TRUE(this->runUntil([this] { return this->allClosed(); })) << Case;
+    }
+  }
+}
+
+TEST_F(EndlessAnswerTest, AnEventOrARefusalWithoutEndIsReplaced) {
+  const std::array Parts = {
+      WithoutEnd{"event",
+                 "Transfer-Encoding: chunked\r\n"
+                 "Content-Type: text/event-stream\r\n",
+                 "", chunk(std::string(4096, 'x'))},
+      WithoutEnd{"refusal", nullptr,
+                 "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n\r\n",
+                 "x"}};
+  // A string may have room for twice its size.
+  const std::size_t MaxPieceBytes = ForwarderSettings{}.MaxPieceBytes;
+  for (const WithoutEnd &Part : Parts) {
+    this->restart(catalog::Repetition::Resumable, true);
+    this->Answer = withoutEnd(Part, FastPiece, AtOnce);
+    auto Asking = this->askEndless(Callers);
+    EXPECT_TRUE(this->waitForAll(Asking)) << Part.Name;
+    for (const auto &Each : Asking) {
+      Understood Got = understand(*Each);
+      ASSERT_EQ(Got.End, Seen::Complete) << Part.Name;
+      EXPECT_EQ(Got.Body, event(1)) << Part.Name;
+    }
+    EXPECT_TRUE(this->runUntil([this] { return this->allClosed(); }))
+        << Part.Name;
+    EXPECT_LE(this->Heap.bytes(),
+              Callers * (MaxBytesPerRequest + 2 * MaxPieceBytes))
+        << Part.Name;
+  }
+}
