Large request bodies are sent without a copy

A body was kept by its exchange for repeats and copied behind its head for each attempt, so that a request of 4 MB took 8 MB while it was sent. Bodies above 64 KB are now handed to the stream writer as they are and leave in the same gathering write as their head; smaller ones are copied as before.

--- a/src/http/forwardclient.h
+++ b/src/http/forwardclient.h
@@ -35,6 +35,10 @@
   auto operator<=>(const ConnectionId &) const = default;
 };
 
+/// A body up to this many bytes is copied behind its head, so that both leave
+/// in one system call; a larger one is sent from where it is.
+inline constexpr std::size_t MaxCopiedBodyBytes = 64U << 10U;
+
 struct ForwardRequest {
   std::string Method;
   std::string Target;
--- a/src/http/internal/forwardconnection.cpp
+++ b/src/http/internal/forwardconnection.cpp
@@ -19,10 +19,15 @@
 template <int Level, int Name>
 using IntegerOption = asio::detail::socket_option::integer<Level, Name>;
 
+bool isBodyCopied(const ForwardRequest &Request) {
+  return Request.Body && Request.Body->size() <= MaxCopiedBodyBytes;
+}
+
+/// The head, and the body if it is copied.
 std::string requestBytes(const ForwardRequest &Request) {
   std::size_t BodySize = Request.Body ? Request.Body->size() : 0;
   std::string Out;
-  Out.reserve(1024 + BodySize);
+  Out.reserve(1024 + (isBodyCopied(Request) ? BodySize : 0));
   Out.append(Request.Method).append(" ").append(Request.Target);
   Out += " HTTP/1.1\r\n";
   for (const Header &Each : Request.Headers)
@@ -30,7 +35,7 @@
   if (BodySize > 0 || (Request.Method != "GET" && Request.Method != "HEAD"))
     Out += "Content-Length: " + std::to_string(BodySize) + "\r\n";
   Out += "\r\n";
-  if (Request.Body)
+  if (isBodyCopied(Request))
     Out += *Request.Body;
   return Out;
 }
@@ -118,6 +123,7 @@
   this->Callbacks = std::move(NewCallbacks);
   this->HeadRequest = Request.Method == "HEAD";
   this->Outgoing = requestBytes(Request);
+  this->OutgoingBody = isBodyCopied(Request) ? nullptr : Request.Body;
   this->Sending = false;
   this->RequestSent = false;
   this->Paused = false;
@@ -195,6 +201,8 @@
   this->At = Phase::Busy;
   this->Sending = true;
   this->Writer.send(std::exchange(this->Outgoing, {}));
+  if (auto Body = std::exchange(this->OutgoingBody, nullptr))
+    this->Writer.send(std::move(Body));
 }
 
 void ForwardConnection::read() {
--- a/src/http/internal/forwardconnection.h
+++ b/src/http/internal/forwardconnection.h
@@ -64,6 +64,8 @@
   StreamReader Reader;
   StreamWriter Writer;
   std::string Outgoing;
+  /// A large body that is not among the bytes of Outgoing.
+  std::shared_ptr<const std::string> OutgoingBody;
   ForwardCallbacks Callbacks;
   /// The calls that were started here, so that an old handle does nothing.
   std::uint64_t Calls = 0;
--- a/src/http/internal/streamwriter.cpp
+++ b/src/http/internal/streamwriter.cpp
@@ -1,5 +1,6 @@
 #include "streamwriter.h"
 
+#include <array>
 #include <asio/post.hpp>
 #include <utility>
 
@@ -13,14 +14,36 @@
 }
 
 void StreamWriter::send(std::string Bytes) {
-  if (Bytes.empty())
+  this->enqueue({std::move(Bytes), nullptr});
+}
+
+void StreamWriter::send(std::shared_ptr<const std::string> Bytes) {
+  this->enqueue({"", std::move(Bytes)});
+}
+
+std::size_t StreamWriter::ownBytes() const {
+  std::size_t Out = 0;
+  for (const Piece &Each : this->Pieces)
+    Out += Each.Own.capacity();
+  return Out;
+}
+
+void StreamWriter::enqueue(Piece New) {
+  std::size_t Size = New.bytes().size();
+  if (Size == 0)
     return;
-  if (this->unsent() == 0)
+  if (this->Unsent == 0)
     this->ProgressAt = std::chrono::steady_clock::now();
-  if (this->Queued.empty())
-    this->Queued = std::move(Bytes);
+  this->Unsent += Size;
+  // A piece that has left in part is not enlarged, as its beginning would be
+  // kept with it.
+  bool Joins = !this->Pieces.empty() && !New.Shared &&
+               !this->Pieces.back().Shared &&
+               (this->Pieces.size() > 1 || this->Taken == 0);
+  if (Joins)
+    this->Pieces.back().Own += New.Own;
   else
-    this->Queued += Bytes;
+    this->Pieces.push_back(std::move(New));
   if (this->Scheduled || this->Waiting)
     return;
   this->Scheduled = true;
@@ -33,9 +56,23 @@
 void StreamWriter::flushNow() {
   if (this->unsent() == 0)
     return;
-  this->Leaving += std::exchange(this->Queued, {});
   this->writeSome();
-  this->Leaving.clear();
+  this->clear();
+}
+
+void StreamWriter::advance(std::size_t Size) {
+  this->Unsent -= Size;
+  this->Taken += Size;
+  while (!this->Pieces.empty() &&
+         this->Taken >= this->Pieces.front().bytes().size()) {
+    this->Taken -= this->Pieces.front().bytes().size();
+    this->Pieces.pop_front();
+  }
+}
+
+void StreamWriter::clear() {
+  this->Pieces.clear();
+  this->Unsent = 0;
   this->Taken = 0;
 }
 
@@ -43,40 +80,35 @@
   this->Scheduled = false;
   if (this->Waiting)
     return;
-  while (!this->Queued.empty()) {
-    this->Leaving = std::exchange(this->Queued, {});
-    asio::error_code Failed = this->writeSome();
-    if (Failed == asio::error::would_block) {
-      this->waitForRoom(std::move(Alive));
-      return;
-    }
-    if (Failed) {
-      this->Take.OnFailed();
-      return;
-    }
-  }
-  this->Take.OnAllSent();
+  asio::error_code Failed = this->writeSome();
+  if (Failed == asio::error::would_block)
+    this->waitForRoom(std::move(Alive));
+  else if (Failed)
+    this->Take.OnFailed();
+  else
+    this->Take.OnAllSent();
 }
 
 asio::error_code StreamWriter::writeSome() {
   asio::error_code Failed;
   if (!this->Socket.non_blocking())
     this->Socket.non_blocking(true, Failed);
-  while (!Failed && this->Taken < this->Leaving.size()) {
-    std::size_t Size = this->Socket.write_some(
-        asio::buffer(this->Leaving.data() + this->Taken,
-                     this->Leaving.size() - this->Taken),
-        Failed);
+  while (!Failed && !this->Pieces.empty()) {
+    std::string_view First = this->Pieces.front().bytes();
+    First.remove_prefix(this->Taken);
+    std::string_view Second;
+    if (this->Pieces.size() > 1)
+      Second = this->Pieces[1].bytes();
+    std::array<asio::const_buffer, 2> Buffers = {
+        asio::buffer(First.data(), First.size()),
+        asio::buffer(Second.data(), Second.size())};
+    std::size_t Size = this->Socket.write_some(Buffers, Failed);
     if (Size == 0)
       continue;
-    this->Taken += Size;
+    this->advance(Size);
     this->ProgressAt = std::chrono::steady_clock::now();
   }
-  if (Failed)
-    return Failed;
-  this->Leaving.clear();
-  this->Taken = 0;
-  return {};
+  return Failed;
 }
 
 void StreamWriter::waitForRoom(std::shared_ptr<void> Alive) {
--- a/src/http/internal/streamwriter.h
+++ b/src/http/internal/streamwriter.h
@@ -8,9 +8,11 @@
 #include <asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace kingcuphub::http {
 
@@ -27,18 +29,33 @@
   /// writer alive during an operation; it holds this writer.
   void start(std::weak_ptr<void> NewOwner, Handlers NewTake);
   void send(std::string Bytes);
+  /// Sends the bytes from where they are.
+  void send(std::shared_ptr<const std::string> Bytes);
   /// Hands the socket what it takes at once, before the socket is closed.
   void flushNow();
   /// Bytes that the socket has not taken yet.
-  std::size_t unsent() const {
-    return this->Queued.size() + this->Leaving.size();
-  }
+  std::size_t unsent() const { return this->Unsent; }
+  /// Memory of the bytes that were handed over and not all taken, without
+  /// those that are sent from where they are.
+  std::size_t ownBytes() const;
   /// When the socket last took bytes, or was first asked to.
   std::chrono::steady_clock::time_point progressAt() const {
     return this->ProgressAt;
   }
 
 private:
+  struct Piece {
+    std::string Own;
+    std::shared_ptr<const std::string> Shared;
+    std::string_view bytes() const {
+      return this->Shared ? *this->Shared : this->Own;
+    }
+  };
+
+  void enqueue(Piece New);
+  /// The socket has taken this many bytes.
+  void advance(std::size_t Size);
+  void clear();
   void flush(std::shared_ptr<void> Alive);
   /// Writes until the socket takes no more: an asynchronous write that is under
   /// way would leave open how much of it has left already.
@@ -48,8 +65,9 @@
   asio::ip::tcp::socket &Socket;
   std::weak_ptr<void> Owner;
   Handlers Take;
-  std::string Queued;
-  std::string Leaving;
+  std::deque<Piece> Pieces;
+  std::size_t Unsent = 0;
+  /// Bytes of the first piece that the socket has taken.
   std::size_t Taken = 0;
   bool Scheduled = false;
   /// Until the socket has room again.
--- a/src/http/tests/streamwritertest.cpp
+++ b/src/http/tests/streamwritertest.cpp
@@ -80,3 +80,30 @@
   EXPECT_TRUE(AllSent);
   EXPECT_EQ(Got, Sent);
 }
+
+/// A large body is kept once, however often it is sent.
+TEST(StreamWriterTest, ABodyIsSentFromWhereItIs) {
+  asio::io_context Loop;
+  Pair Connected(Loop);
+  StreamWriter Writer(Connected.Near);
+  auto Owner = std::make_shared<int>(0);
+  Writer.start(Owner, {[] {}, [] {}});
+  constexpr std::size_t BodyBytes = 20U << 20U;
+  auto Body = std::make_shared<const std::string>(BodyBytes, 'b');
+  Writer.send("head");
+  Writer.send(Body);
+  Writer.send("tail");
+  EXPECT_LT(Writer.ownBytes(), 100U);
+  EXPECT_EQ(Writer.unsent(), BodyBytes + 8);
+  std::string Got(BodyBytes + 8, '\0');
+  std::size_t Taken = 0;
+  while (Taken < Got.size()) {
+    Loop.poll();
+    Taken += Connected.Far.read_some(
+        asio::buffer(Got.data() + Taken, Got.size() - Taken));
+  }
+  Loop.poll();
+  EXPECT_EQ(Got, "head" + *Body + "tail");
+  EXPECT_EQ(Writer.unsent(), 0U);
+  EXPECT_EQ(Body.use_count(), 1);
+}
