One budget bounds the memory of an instance's requests and answers

Bodies, held answers and unsent bytes were bounded for each request or connection; nothing bounded their sum.

The refused body is read and discarded, so that its caller gets the answer and no reset. The reservation lives as long as anything keeps the request. Small bodies have a share of their own. AnswerLimits gives each answer a part of what is left, so that reading from targets pauses before the memory is used up; if the share is overdrawn nevertheless, the caller with the most unsent bytes is dropped. A connection whose read-ahead reached its limit did not read on once its next request began; it does now, as that limit falls with the memory.

Without the change of lingering and of reading on, ARefusedBodyIsReadSoThatItsCallerGetsTheAnswer and ARequestOfWhichAPartWasReadAheadIsReadToItsEnd fail.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -8,6 +8,7 @@
 /// where stated otherwise.
 
 #include "base/clock.h"
+#include "base/memorybudget.h"
 #include "dispatch/promptquarantine.h"
 #include "dispatch/retrybudget.h"
 #include "dispatch/targetselector.h"
@@ -37,9 +38,12 @@
   double TokenWaitFraction = 0.15;
   http::ForwardSettings Connections;
   dispatch::WaitSettings Waits;
-  /// A non-streaming or unsuccessful answer up to this size is buffered until
-  /// it is complete, so that the request can be retried if the answer is
-  /// truncated. Larger ones are forwarded as they arrive.
+  /// Shared by requests and answers; not bounded if there is none.
+  base::MemoryBudgetPtr Memory;
+  /// The following limits of one answer fall as the memory for all of them is
+  /// used up. A non-streaming or unsuccessful answer up to this size is
+  /// buffered until it is complete, so that the request can be retried if the
+  /// answer is truncated. Larger ones are forwarded as they arrive.
   std::size_t MaxHeldBytes = 128U << 10U;
   /// Largest body of a refusal that is read, and largest single event that is
   /// kept until it is complete. The call is cancelled if a refusal or an event
@@ -88,6 +92,10 @@
   virtual ~Forwarder() = default;
   virtual void handle(http::Request Asked, http::ResponseWriterPtr Answer) = 0;
 
+  /// The answer to a request that there is no memory for.
+  virtual http::Response refuseForMemory(const http::Request &Head,
+                                         http::MemoryRefusal Why) = 0;
+
   virtual void setCatalog(catalog::CatalogPtr New) = 0;
   /// The catalog was the newest one at this time.
   virtual void setCatalogProven(base::TimePoint At) = 0;
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/visitor.h"
+#include "eventstream.h"
 
 #include <algorithm>
 #include <utility>
@@ -59,7 +60,9 @@
     : Context(Context), Asked(std::move(NewAsked)),
       Body(std::make_shared<const std::string>(std::move(this->Asked.Body))),
       Answer(std::move(NewAnswer)), ReceivedAt(Context.Clock.now()),
-      Deadline(this->ReceivedAt), Open(Context.Open), Timer(Context.Loop) {
+      Deadline(this->ReceivedAt),
+      KeptMemory(Context.AnswerSizes.makeReservation()), Open(Context.Open),
+      Timer(Context.Loop) {
   this->LocalId.Value = std::to_string(this->Context.NextLocalId++);
   ++*this->Open;
 }
@@ -526,7 +529,7 @@
     return;
   }
   bool TooLarge =
-      NewHead.length().value_or(0) > this->Context.Settings.MaxHeldBytes;
+      NewHead.length().value_or(0) > this->Context.AnswerSizes.maxHeld();
   if (!Success || (!this->Route->Streaming && !TooLarge)) {
     this->State = AnswerState::Held;
     return;
@@ -586,15 +589,17 @@
     return;
   case AnswerState::Held:
     this->Held.append(Bytes);
-    if (this->Held.size() > this->Context.Settings.MaxHeldBytes) {
+    if (this->Held.size() > this->Context.AnswerSizes.maxHeld()) {
       this->beginForwarding();
       this->forwardPiece(std::exchange(this->Held, {}));
     }
-    return;
+    break;
   case AnswerState::Forwarded:
     this->forwardPiece(Bytes);
-    return;
+    break;
   }
+  this->KeptMemory.record(this->Held.capacity() +
+                          this->Events.incomplete().size());
 }
 
 /// Forwards whole events only, so that a stream that breaks off is not complete
@@ -605,7 +610,7 @@
     return;
   }
   this->forward(this->Events.feed(Bytes));
-  if (this->Events.incomplete().size() <= this->Context.Settings.MaxPieceBytes)
+  if (this->Events.incomplete().size() <= this->Context.AnswerSizes.maxPiece())
     return;
   if (this->AnswerResumable)
     this->failAttempt("event-too-large");
@@ -613,18 +618,8 @@
     this->forward(this->Events.takeIncomplete());
 }
 
-/// Returns whether the answer is a server-sent event stream; on a streaming
-/// route it need not say so. Events of an encoded stream can't be told apart.
 bool Exchange::isEventStream() const {
-  if (!isSuccess(this->Head.Status) ||
-      !this->Head.header("Content-Encoding").empty())
-    return false;
-  std::string_view Type = this->Head.header("Content-Type");
-  Type = Type.substr(0, Type.find(';'));
-  while (!Type.empty() && Type.back() == ' ')
-    Type.remove_suffix(1);
-  return Type.empty() ? this->Route->Streaming
-                      : http::equalNames(Type, "text/event-stream");
+  return forwarding::isEventStream(this->Head, this->Route->Streaming);
 }
 
 void Exchange::cancelCall() {
@@ -644,8 +639,8 @@
   if (Bytes.empty())
     return;
   this->Answer->write(std::move(Bytes));
-  if (this->Answer->unsentBytes() > this->Context.Settings.MaxUnsentBytes &&
-      this->Call)
+  if (this->Call &&
+      this->Answer->unsentBytes() > this->Context.AnswerSizes.maxUnsent())
     this->Call->pause();
 }
 
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -183,6 +183,8 @@
   std::optional<http::ForwardEnd> AnswerEnd;
   AnswerFacts HeadFacts;
   std::string Held;
+  /// For Held and the incomplete event of Events.
+  base::MemoryReservation KeptMemory;
   /// Discarded bytes of a refusal's body.
   std::size_t DiscardedBytes = 0;
   /// The head of an answer has been sent to the caller.
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -22,6 +22,20 @@
 constexpr std::chrono::milliseconds UsageInterval{20};
 constexpr std::chrono::milliseconds IdleUsageInterval{100};
 
+constexpr int ContentTooLarge = 413;
+constexpr int Unavailable = 503;
+constexpr double MaxRetryJitter = 0.25;
+
+Refusal refusalOf(http::MemoryRefusal Why) {
+  switch (Why) {
+  case http::MemoryRefusal::NeverFits:
+    return {ContentTooLarge, "larger-than-memory", std::nullopt};
+  case http::MemoryRefusal::NoRoom:
+    break;
+  }
+  return {Unavailable, "no-memory", std::nullopt};
+}
+
 class ForwarderImpl final : public Forwarder {
 public:
   ForwarderImpl(asio::io_context &Loop, ForwarderSettings Settings,
@@ -49,6 +63,31 @@
     New->start();
   }
 
+  http::Response refuseForMemory(const http::Request &Head,
+                                 http::MemoryRefusal Why) override {
+    Refusal Out = refusalOf(Why);
+    if (Out.Status == Unavailable)
+      Out.RetryAfter = this->retryAfter();
+    base::RequestId Id;
+    if (auto Read = this->Context.Protocol.readRequest(Head))
+      Id = Read->Id;
+    this->Context.Metrics
+        .counter("requests", {{"route", ""},
+                              {"outcome", "refused"},
+                              {"status", std::to_string(Out.Status)}})
+        .add();
+    base::logEvent(
+        base::LogLevel::Info, "ended",
+        {{"request", Id.Value},
+         {"outcome", "refused"},
+         {"status", Out.Status},
+         {"reason", Out.Reason},
+         {"content_length", std::string(Head.header("Content-Length"))},
+         {"attempts", 0},
+         {"after_ms", 0}});
+    return this->Context.Protocol.refusal(Id, Out);
+  }
+
   void setCatalog(catalog::CatalogPtr New) override {
     this->Context.Catalog = New;
     this->Context.Selector.setCatalog(std::move(New));
@@ -138,6 +177,14 @@
   std::size_t open() const override { return *this->Context.Open; }
 
 private:
+  /// With jitter, as those who are refused together return together.
+  std::chrono::milliseconds retryAfter() {
+    std::uniform_real_distribution<double> Draw(1, 1 + MaxRetryJitter);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->Context.Settings.Waits.DefaultRetryAfter *
+        Draw(this->Context.Random));
+  }
+
   /// Decides on requests that wait for tokens, and requests or returns credit.
   void admit() {
     base::TimePoint Now = this->Context.Clock.now();
--- a/src/forwarding/internal/trafficcontext.h
+++ b/src/forwarding/internal/trafficcontext.h
@@ -6,6 +6,7 @@
 /// requests that wait for a target.
 
 #include "admission/fairqueue.h"
+#include "answerlimits.h"
 #include "base/log.h"
 #include "dispatch/answertimes.h"
 #include "dispatch/flowrate.h"
@@ -32,6 +33,9 @@
         Retries(this->Settings.Retries), Usage(this->Settings.Usage),
         Waits(this->Settings.Waits), Quarantine(this->Settings.Quarantine),
         Client(http::makeForwardClient(Loop, this->Settings.Connections)),
+        AnswerSizes({this->Settings.MaxHeldBytes, this->Settings.MaxPieceBytes,
+                     this->Settings.MaxUnsentBytes},
+                    this->Settings.Memory),
         EndCheck(Loop, *this->Client, Clock,
                  [this](dispatch::TargetEnd End) {
                    this->onTargetEnd(std::move(End));
@@ -60,6 +64,7 @@
   dispatch::WaitPolicy Waits;
   dispatch::PromptQuarantine Quarantine;
   std::unique_ptr<http::ForwardClient> Client;
+  AnswerLimits AnswerSizes;
   TargetEndCheck EndCheck;
   std::mt19937_64 Random;
   catalog::CatalogPtr Catalog;
--- a/src/forwarding/tests/forwarderfixture.h
+++ b/src/forwarding/tests/forwarderfixture.h
@@ -84,6 +84,7 @@
     }
     ForwarderSettings Settings;
     Settings.MaxHeldBytes = this->HeldLimit;
+    Settings.Memory = this->Memory;
     Settings.Retries.Extra = this->ExtraRetries;
     this->Traffic = makeForwarder(this->Loop, Settings, this->Protocol,
                                   this->Clock, this->Metrics);
@@ -96,12 +97,20 @@
     this->FrontServer = this->listen(
         [this](http::Request Asked, http::ResponseWriterPtr Answer) {
           this->Traffic->handle(std::move(Asked), std::move(Answer));
-        });
+        },
+        {this->Memory,
+         [this](const http::Request &Head, http::MemoryRefusal Why) {
+           return this->Traffic->refuseForMemory(Head, Why);
+         }});
     this->Http = http::makeHttpClient(this->Loop);
   }
 
-  std::unique_ptr<http::HttpServer> listen(http::RequestHandler Handler) {
-    auto Started = http::startHttpServer(this->Loop, {}, std::move(Handler));
+  std::unique_ptr<http::HttpServer> listen(http::RequestHandler Handler,
+                                           http::ServerMemory Bounds = {}) {
+    http::ServerSettings Listen;
+    Listen.Memory = std::move(Bounds);
+    auto Started =
+        http::startHttpServer(this->Loop, Listen, std::move(Handler));
     EXPECT_TRUE(Started);
     return std::move(*Started);
   }
@@ -258,6 +267,7 @@
   std::vector<admission::CreditCommand> Credits;
   /// Small enough that a test's answers are over it.
   std::size_t HeldLimit = 8192;
+  base::MemoryBudgetPtr Memory;
   /// Over all instances, of which the forwarder is one of some.
   double ExtraRetries = 50;
   /// Targets of other names have no failures from before.
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -4,12 +4,15 @@
 /// \file
 /// The HTTP messages that pass between modules, free of any library's types.
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace kingcuphub::http {
 
+class RequestMemory;
+
 struct Header {
   std::string Name;
   std::string Value;
@@ -33,6 +36,8 @@
   std::string Body;
   /// Path and query byte for byte as the caller sent them.
   std::string Target;
+  /// Reserved for the request as long as anything keeps it.
+  std::shared_ptr<RequestMemory> Memory;
 
   std::string_view header(std::string_view Name) const {
     return findHeader(this->Headers, Name);
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -4,11 +4,14 @@
 /// \file
 /// An HTTP/1.1 server on the caller's Asio loop. All calls and callbacks
 /// happen on the thread that runs the loop. A request is handed over whole;
-/// one whose length is in doubt is answered 400 and ends its connection.
+/// one whose length is in doubt is answered 400 and ends its connection. One
+/// that finds no memory is refused before its body is kept; of callers that
+/// don't read, the one with the most unsent bytes is dropped first.
 
 #include "base/error.h"
 #include "http/bodyframing.h"
 #include "http/httpmessage.h"
+#include "http/requestmemory.h"
 
 #include <asio/io_context.hpp>
 #include <chrono>
@@ -35,12 +38,21 @@
   std::chrono::milliseconds WriteTimeout{10000};
 };
 
+/// Bounds what the connections of a server hold together.
+struct ServerMemory {
+  /// Not bounded if there is none.
+  base::MemoryBudgetPtr Budget;
+  /// Makes the answer to a request that is not taken; only its head is known.
+  std::function<Response(const Request &Head, MemoryRefusal Why)> Refuse;
+};
+
 /// Where a server listens.
 struct ServerSettings {
   std::string Address = "127.0.0.1";
   /// 0 takes a free port from the kernel.
   std::uint16_t Port = 0;
   CallerLimits Limits{};
+  ServerMemory Memory{};
 };
 
 /// The answer to one request: either respond() once, or beginStream(),
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -30,6 +30,7 @@
              RequestHandler Handler)
       : Shared(std::make_shared<ServerState>()), Listener(Loop), Pause(Loop) {
     this->Shared->Limits = Settings.Limits;
+    this->Shared->Memory = Settings.Memory;
     this->Shared->Handler = std::move(Handler);
     asio::ip::tcp::endpoint At(asio::ip::make_address(Settings.Address),
                                Settings.Port);
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -1,7 +1,9 @@
 #include "serverconnection.h"
 
+#include "base/log.h"
 #include "base/visitor.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <cstdio>
 #include <utility>
@@ -14,7 +16,10 @@
 
 /// Bytes of a next request that are read ahead while one is answered.
 constexpr std::size_t MaxBacklog = 65536;
-/// How long a caller may take to close after the last answer.
+/// The part of the free memory that one connection's read-ahead may take.
+constexpr std::size_t BacklogDivisor = 8;
+/// How long a caller that sends nothing may take to close after the last
+/// answer.
 constexpr std::chrono::milliseconds LingerTime{1000};
 /// How often a connection's time limits are looked at.
 constexpr std::chrono::milliseconds WatchEvery{500};
@@ -31,6 +36,33 @@
   return Out;
 }
 
+std::string bytesOf(const Response &Whole, bool KeepAlive, bool WithBody) {
+  std::string Out = headOf(Whole.Status, Whole.Headers, KeepAlive);
+  if (!isBodyless(Whole.Status))
+    Out += "Content-Length: " + std::to_string(Whole.Body.size()) + "\r\n";
+  Out += "\r\n";
+  if (WithBody && !isBodyless(Whole.Status))
+    Out += Whole.Body;
+  return Out;
+}
+
+std::size_t sizeOf(const MessageHead &Head) {
+  // The separators and line ends of a header.
+  constexpr std::size_t PerHeader = 4;
+  std::size_t Out = Head.Method.size() + Head.Target.size();
+  for (const Header &Each : Head.Headers)
+    Out += Each.Name.size() + Each.Value.size() + PerHeader;
+  return Out;
+}
+
+Response defaultRefusal(MemoryRefusal Why) {
+  constexpr int BodyTooLarge = 413;
+  constexpr int Unavailable = 503;
+  if (Why == MemoryRefusal::NeverFits)
+    return {BodyTooLarge, {}, ""};
+  return {Unavailable, {{"Retry-After", "1"}}, ""};
+}
+
 std::string framingHeader(const BodyFraming &Framing) {
   return std::visit(
       base::Visitor{[](const NoBody &) { return std::string(); },
@@ -68,13 +100,7 @@
       this->finish();
       return;
     }
-    std::string Bytes = headOf(Whole.Status, Whole.Headers, this->keepAlive());
-    if (!isBodyless(Whole.Status))
-      Bytes += "Content-Length: " + std::to_string(Whole.Body.size()) + "\r\n";
-    Bytes += "\r\n";
-    if (!this->HeadOnly && !isBodyless(Whole.Status))
-      Bytes += Whole.Body;
-    this->Connection->send(std::move(Bytes));
+    this->Connection->send(bytesOf(Whole, this->keepAlive(), !this->HeadOnly));
     this->end();
   }
 
@@ -188,7 +214,11 @@
              {[this](MessageHead Head) { this->onHead(std::move(Head)); },
               [this](std::string_view Piece) { this->onBody(Piece); }}),
       Reader(this->Socket), Writer(this->Socket),
-      Timer(this->Socket.get_executor()), Since(SteadyClock::now()) {}
+      Timer(this->Socket.get_executor()),
+      BacklogMemory(this->Shared->Memory.Budget,
+                    base::MemoryShare::SmallRequests),
+      UnsentMemory(this->Shared->Memory.Budget, base::MemoryShare::Answers),
+      Since(SteadyClock::now()) {}
 
 void ServerConnection::start() {
   asio::error_code Ignored;
@@ -214,6 +244,7 @@
   // The peer sees the end either way.
   this->Socket.close(Ignored);
   this->Timer.cancel();
+  this->recordUnsent();
   this->Shared->Connections.erase(Alive);
   if (auto Answering = this->Current.lock())
     Answering->connectionClosed();
@@ -227,7 +258,11 @@
 }
 
 void ServerConnection::read() {
-  if (this->At == Phase::Closed || this->Backlog.size() > MaxBacklog)
+  std::size_t Limit = MaxBacklog;
+  if (const auto &Budget = this->Shared->Memory.Budget)
+    Limit = std::min(Limit, Budget->left(base::MemoryShare::SmallRequests) /
+                                BacklogDivisor);
+  if (this->At == Phase::Closed || this->Backlog.size() > Limit)
     return;
   this->Reader.read();
 }
@@ -239,10 +274,12 @@
     this->close();
     return;
   }
+  this->LastReadAt = SteadyClock::now();
   if (this->At != Phase::Lingering)
     this->Backlog.append(Bytes);
   if (this->At == Phase::Reading)
     this->parse();
+  this->BacklogMemory.record(this->Backlog.size());
   this->read();
 }
 
@@ -257,6 +294,7 @@
   if (this->At != Phase::Reading)
     return;
   this->Backlog = Bytes.substr(Done.Consumed);
+  this->BacklogMemory.record(this->Backlog.size());
   if (Done.Failed) {
     constexpr int HeadTooLarge = 431;
     constexpr int BadRequest = 400;
@@ -272,6 +310,7 @@
   this->KeepAlive = Head.KeepAlive;
   this->KnowsChunks = Head.KnowsChunks;
   this->Incoming = {};
+  this->IncomingHeadBytes = sizeOf(Head);
   this->Incoming.Method = std::move(Head.Method);
   std::size_t Question = Head.Target.find('?');
   this->Incoming.Path = Head.Target.substr(0, Question);
@@ -279,11 +318,16 @@
     this->Incoming.Query = Head.Target.substr(Question + 1);
   this->Incoming.Target = std::move(Head.Target);
   this->Incoming.Headers = std::move(Head.Headers);
+  this->Incoming.Memory =
+      std::make_shared<RequestMemory>(this->Shared->Memory.Budget);
   if (Head.length().value_or(0) > this->Shared->Limits.MaxBodyBytes) {
     constexpr int BodyTooLarge = 413;
     this->reject(BodyTooLarge);
     return;
   }
+  std::size_t Length = Head.length().value_or(0);
+  if (!this->makeRoom(Length, Length))
+    return;
   if (this->Incoming.header("Expect") == "100-continue")
     this->send("HTTP/1.1 100 Continue\r\n\r\n");
 }
@@ -291,15 +335,45 @@
 void ServerConnection::onBody(std::string_view Piece) {
   if (this->At != Phase::Reading)
     return;
-  if (this->Incoming.Body.size() + Piece.size() >
-      this->Shared->Limits.MaxBodyBytes) {
+  std::size_t Needed = this->Incoming.Body.size() + Piece.size();
+  std::size_t Limit = this->Shared->Limits.MaxBodyBytes;
+  if (Needed > Limit) {
     constexpr int BodyTooLarge = 413;
     this->reject(BodyTooLarge);
     return;
   }
+  std::size_t Room = this->Incoming.Body.capacity();
+  std::size_t Doubled = std::max(Needed, std::min(2 * Room, Limit));
+  if (Needed > Room && !this->makeRoom(Needed, Doubled))
+    return;
   this->Incoming.Body.append(Piece);
 }
 
+bool ServerConnection::makeRoom(std::size_t Least, std::size_t Wanted) {
+  std::optional<MemoryRefusal> Refused;
+  for (std::size_t Bytes : {Wanted, (Least + Wanted) / 2, Least}) {
+    Refused = this->Incoming.Memory->reserve(this->IncomingHeadBytes, Bytes);
+    if (!Refused) {
+      // A string that is not empty may take twice its capacity.
+      std::string Larger;
+      Larger.reserve(Bytes);
+      Larger.append(this->Incoming.Body);
+      this->Incoming.Body = std::move(Larger);
+      return true;
+    }
+  }
+  this->refuseForMemory(*Refused);
+  return false;
+}
+
+void ServerConnection::refuseForMemory(MemoryRefusal Why) {
+  this->Incoming.Body = {};
+  this->Incoming.Memory.reset();
+  const auto &Refuse = this->Shared->Memory.Refuse;
+  this->respondAndLinger(Refuse ? Refuse(this->Incoming, Why)
+                                : defaultRefusal(Why));
+}
+
 void ServerConnection::dispatch() {
   this->At = Phase::Answering;
   this->Since = SteadyClock::now();
@@ -310,14 +384,53 @@
 }
 
 void ServerConnection::reject(int Status) {
+  this->respondAndLinger({Status, {}, ""});
+}
+
+void ServerConnection::respondAndLinger(const Response &Whole) {
+  bool HeadOnly = std::exchange(this->Incoming, {}).Method == "HEAD";
   this->KeepAlive = false;
-  this->send(headOf(Status, {}, false) + "Content-Length: 0\r\n\r\n");
+  this->send(bytesOf(Whole, false, !HeadOnly));
   this->linger();
 }
 
 void ServerConnection::send(std::string Bytes) {
-  if (this->At != Phase::Closed)
-    this->Writer.send(std::move(Bytes));
+  if (this->At == Phase::Closed)
+    return;
+  this->Writer.send(std::move(Bytes));
+  this->recordUnsent();
+}
+
+void ServerConnection::recordUnsent() {
+  this->UnsentMemory.record(
+      this->At == Phase::Closed ? 0 : this->Writer.ownBytes());
+  const auto &Budget = this->Shared->Memory.Budget;
+  if (!Budget || !Budget->overdrawn(base::MemoryShare::Answers) ||
+      std::exchange(this->Shared->ChecksUnsent, true))
+    return;
+  // By then the sockets have been offered the bytes.
+  asio::post(this->Socket.get_executor(),
+             [Alive = this->shared_from_this()] { Alive->dropSlowReaders(); });
+}
+
+void ServerConnection::dropSlowReaders() {
+  this->Shared->ChecksUnsent = false;
+  const auto &Budget = this->Shared->Memory.Budget;
+  for (const auto &Each : this->Shared->Connections)
+    Each->UnsentMemory.record(Each->Writer.ownBytes());
+  while (Budget->overdrawn(base::MemoryShare::Answers)) {
+    const auto &Open = this->Shared->Connections;
+    auto Largest = std::max_element(
+        Open.begin(), Open.end(), [](const auto &Left, const auto &Right) {
+          return Left->unsentMemory() < Right->unsentMemory();
+        });
+    if (Largest == Open.end() || (*Largest)->unsentMemory() == 0)
+      return;
+    ServerConnection &Dropped = **Largest;
+    base::logEvent(base::LogLevel::Warn, "slow-reader-dropped",
+                   {{"unsent_bytes", Dropped.unsentMemory()}});
+    Dropped.close();
+  }
 }
 
 void ServerConnection::endByReset() {
@@ -336,6 +449,7 @@
 }
 
 void ServerConnection::onAllSent() {
+  this->recordUnsent();
   if (this->At == Phase::Lingering) {
     this->endSending();
     return;
@@ -361,6 +475,7 @@
                [this, Alive = this->shared_from_this()] {
                  if (this->At == Phase::Reading)
                    this->parse();
+                 this->read();
                });
   this->read();
 }
@@ -368,7 +483,8 @@
 void ServerConnection::linger() {
   this->At = Phase::Lingering;
   this->Since = SteadyClock::now();
-  this->Backlog.clear();
+  this->Backlog = {};
+  this->BacklogMemory.record(0);
   if (this->Writer.unsent() == 0)
     this->endSending();
   this->read();
@@ -381,7 +497,9 @@
       Now - this->Writer.progressAt() > Limits.WriteTimeout)
     return true;
   if (this->At == Phase::Lingering)
-    return this->Writer.unsent() == 0 && Now - this->Since > LingerTime;
+    return this->Writer.unsent() == 0 &&
+           (Now - std::max(this->Since, this->LastReadAt) > LingerTime ||
+            Now - this->Since > Limits.ReadTimeout);
   if (this->At == Phase::Reading && !this->Parser.inMessage())
     return Now - this->Since > Limits.IdleTimeout;
   return false;
--- a/src/http/internal/serverconnection.h
+++ b/src/http/internal/serverconnection.h
@@ -25,10 +25,13 @@
 /// What the connections of one server share.
 struct ServerState {
   CallerLimits Limits;
+  ServerMemory Memory;
   RequestHandler Handler;
   /// Answers end their connections.
   bool Draining = false;
   std::set<std::shared_ptr<ServerConnection>> Connections;
+  /// A check of the unsent bytes of all connections is scheduled.
+  bool ChecksUnsent = false;
 };
 
 class ServerConnection final
@@ -46,6 +49,8 @@
   void close();
   /// Closes unless a request has begun to arrive or is being answered.
   void closeIfIdle();
+  /// In bytes.
+  std::size_t unsentMemory() const { return this->UnsentMemory.size(); }
 
 private:
   enum class Phase {
@@ -63,8 +68,15 @@
   void parse();
   void onHead(MessageHead Head);
   void onBody(std::string_view Piece);
+  /// Makes room for a body of \p Least bytes, better \p Wanted; refuses the
+  /// request and returns false if there is none.
+  bool makeRoom(std::size_t Least, std::size_t Wanted);
+  void refuseForMemory(MemoryRefusal Why);
   void dispatch();
   void reject(int Status);
+  void respondAndLinger(const Response &Whole);
+  void recordUnsent();
+  void dropSlowReaders();
   void watch();
   bool overdue() const;
 
@@ -85,12 +97,16 @@
   asio::steady_timer Timer;
   /// Bytes that were read and not parsed yet.
   std::string Backlog;
+  base::MemoryReservation BacklogMemory;
+  base::MemoryReservation UnsentMemory;
   Request Incoming;
+  std::size_t IncomingHeadBytes = 0;
   bool KeepAlive = true;
   bool KnowsChunks = true;
   Phase At = Phase::Reading;
   /// When the phase, or the message that is being read, began.
   std::chrono::steady_clock::time_point Since;
+  std::chrono::steady_clock::time_point LastReadAt;
   std::weak_ptr<Answer> Current;
 };
 
--- a/src/http/tests/httptest.cpp
+++ b/src/http/tests/httptest.cpp
@@ -1,10 +1,13 @@
+#include "common/asynccaller.h"
 #include "common/rawcaller.h"
 #include "common/rawserver.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <gtest/gtest.h>
+#include <map>
 
 using namespace kingcuphub::http;
 using kingcuphub::standin::RawCaller;
@@ -14,8 +17,10 @@
 /// A server and a client on one loop.
 class HttpTest : public testing::Test {
 protected:
-  void serve(RequestHandler Handler) {
-    auto Started = startHttpServer(this->Loop, {}, std::move(Handler));
+  void serve(RequestHandler Handler, ServerMemory Memory = {}) {
+    ServerSettings Settings;
+    Settings.Memory = std::move(Memory);
+    auto Started = startHttpServer(this->Loop, Settings, std::move(Handler));
     ASSERT_TRUE(Started) << Started.error().Message;
     this->Server = std::move(*Started);
     this->Client = makeHttpClient(this->Loop);
@@ -232,3 +237,77 @@
           << Before << " " << Length << " status " << Got->second.Status;
     }
 }
+
+/// The process ends if nobody is dropped.
+TEST_F(HttpTest, OfCallersThatDoNotReadTheLargestIsDropped) {
+  constexpr std::size_t Megabyte = 1U << 20U;
+  auto Budget = std::make_shared<kingcuphub::base::MemoryBudget>(
+      kingcuphub::base::MemoryLimits{Megabyte, Megabyte, 40 * Megabyte});
+  this->serve(
+      [](const Request &Asked, const ResponseWriterPtr &Answer) {
+        std::size_t Size = std::stoul(Asked.parameter("mb")) * Megabyte;
+        Answer->respond({200, {}, std::string(Size, 'a')});
+      },
+      {Budget, nullptr});
+  std::map<std::size_t, std::unique_ptr<kingcuphub::standin::AsyncCaller>>
+      Callers;
+  for (std::size_t Size : {9U, 10U, 24U, 11U}) {
+    Callers[Size] = std::make_unique<kingcuphub::standin::AsyncCaller>(
+        this->Loop, this->Server->port());
+    Callers[Size]->send("GET /?mb=" + std::to_string(Size) +
+                        " HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+  EXPECT_TRUE(
+      this->runUntil([this] { return this->Server->openConnections() == 3; }));
+  EXPECT_FALSE(Budget->overdrawn(kingcuphub::base::MemoryShare::Answers));
+  for (const auto &[Size, Each] : Callers)
+    Each->startReading();
+  EXPECT_TRUE(this->runUntil([&Callers] {
+    return std::all_of(Callers.begin(), Callers.end(), [](const auto &Each) {
+      return Each.second->ended() ||
+             Each.second->receivedBytes() > Each.first * Megabyte;
+    });
+  }));
+  for (const auto &[Size, Each] : Callers)
+    EXPECT_EQ(Each->ended(), Size == 24) << Size;
+}
+
+TEST_F(HttpTest, ARefusedBodyIsReadSoThatItsCallerGetsTheAnswer) {
+  constexpr std::size_t Megabyte = 1U << 20U;
+  auto Budget = std::make_shared<kingcuphub::base::MemoryBudget>(
+      kingcuphub::base::MemoryLimits{Megabyte, Megabyte, Megabyte});
+  this->serve([](const Request &, const ResponseWriterPtr &) { FAIL(); },
+              {Budget, nullptr});
+  RawCaller Caller(this->Loop, this->Server->port());
+  Caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000\r\n\r\n");
+  ASSERT_TRUE(this->runUntil([&Caller] { return !Caller.head().empty(); }));
+  EXPECT_EQ(Caller.head().find("HTTP/1.1 413"), 0U);
+  constexpr int Pieces = 30;
+  for (int Sent = 0; Sent < Pieces; ++Sent) {
+    auto Next =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(60);
+    this->runUntil([Next] { return std::chrono::steady_clock::now() >= Next; });
+    Caller.send(std::string(1000, 'a'));
+  }
+  EXPECT_NE(Caller.ending(), RawCaller::Ending::Reset);
+  EXPECT_EQ(this->Server->openConnections(), 1U);
+}
+
+TEST_F(HttpTest, ARequestOfWhichAPartWasReadAheadIsReadToItsEnd) {
+  // Without room to read ahead.
+  constexpr std::size_t Megabyte = 1U << 20U;
+  auto Budget = std::make_shared<kingcuphub::base::MemoryBudget>(
+      kingcuphub::base::MemoryLimits{Megabyte, 1, Megabyte});
+  this->serve(
+      [](const Request &Asked, const ResponseWriterPtr &Answer) {
+        Answer->respond({200, {}, Asked.Path});
+      },
+      {Budget, nullptr});
+  RawCaller Caller(this->Loop, this->Server->port());
+  Caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHo");
+  ASSERT_TRUE(this->runUntil(
+      [&Caller] { return Caller.received().find("/1") != std::string::npos; }));
+  Caller.send("st: h\r\n\r\n");
+  EXPECT_TRUE(this->runUntil(
+      [&Caller] { return Caller.received().find("/2") != std::string::npos; }));
+}
--- a/src/instance/internal/settings.cpp
+++ b/src/instance/internal/settings.cpp
@@ -17,6 +17,9 @@
 constexpr double MostProcessor = 1024;
 constexpr double LeastLink = 0.1;
 constexpr double MostLink = 1e6;
+constexpr std::int64_t LeastMegabytes = 64;
+constexpr std::int64_t MostMegabytes = 1 << 20;
+constexpr std::size_t Megabyte = 1U << 20U;
 
 base::Endpoint requiredEndpoint(base::SettingsReader &Reader,
                                 const std::string &Name) {
@@ -45,10 +48,15 @@
       Reader.millis("window_ms", Default, ShortestWindow, LongestWindow);
 }
 
-void readCapacity(base::SettingsReader &Reader, residency::Capacity &To) {
-  To.Processor =
-      Reader.real("processor", To.Processor, LeastProcessor, MostProcessor);
-  To.Link = Reader.real("link_mbps", To.Link, LeastLink, MostLink);
+void readCapacity(base::SettingsReader &Reader, Settings &To) {
+  residency::Capacity &Hardware = To.Capacity;
+  Hardware.Processor = Reader.real("processor", Hardware.Processor,
+                                   LeastProcessor, MostProcessor);
+  Hardware.Link = Reader.real("link_mbps", Hardware.Link, LeastLink, MostLink);
+  std::int64_t Megabytes = Reader.number(
+      "memory_mb", static_cast<std::int64_t>(To.Memory / Megabyte),
+      LeastMegabytes, MostMegabytes);
+  To.Memory = static_cast<std::size_t>(Megabytes) * Megabyte;
 }
 
 } // namespace
@@ -75,7 +83,7 @@
   Out.Level = base::parseLogLevel(
       Reader.oneOf("log_level", "info", {"debug", "info", "warn", "error"}));
   Reader.object("capacity", [&Out](base::SettingsReader &Nested) {
-    readCapacity(Nested, Out.Capacity);
+    readCapacity(Nested, Out);
   });
   Reader.object("stop", [&Out](base::SettingsReader &Nested) {
     readStop(Nested, Out.Stop);
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-forwarding::ForwarderSettings forwarderSettings(const Settings &Options) {
+forwarding::ForwarderSettings forwarderSettings(const Settings &Options,
+                                                base::MemoryBudgetPtr Memory) {
   forwarding::ForwarderSettings Out;
   Out.Selector.Zone = Options.Zone;
   Out.Selector.Cold.Self = Options.Name;
@@ -15,6 +16,7 @@
   Out.Retries = Options.Repeats;
   Out.Usage.Window = Options.UsageWindow;
   Out.CatalogProofFor = Options.CatalogProofFor;
+  Out.Memory = std::move(Memory);
   return Out;
 }
 
@@ -27,9 +29,11 @@
                              metrics::Registry &Metrics,
                              forwarding::ForwarderEvents Events)
     : ControlLoop(ControlLoop), Guard(asio::make_work_guard(this->Loop)),
-      Options(Options),
+      Options(Options), Memory(std::make_shared<base::MemoryBudget>(
+                            base::memoryLimits(Options.Memory))),
       Forwarder(forwarding::makeForwarder(
-          this->Loop, forwarderSettings(Options), Protocol, Clock, Metrics)) {
+          this->Loop, forwarderSettings(Options, this->Memory), Protocol, Clock,
+          Metrics)) {
   this->Forwarder->setEvents(
       {[this, Events] { asio::post(this->ControlLoop, Events.OnWanted); },
        [this, Events] {
@@ -53,6 +57,10 @@
   http::ServerSettings Listen;
   Listen.Address = this->Options.Callers.Address;
   Listen.Port = this->Options.Callers.Port;
+  Listen.Memory = {this->Memory,
+                   [this](const http::Request &Head, http::MemoryRefusal Why) {
+                     return this->Forwarder->refuseForMemory(Head, Why);
+                   }};
   auto Started = http::startHttpServer(
       this->Loop, Listen,
       [this](http::Request Asked, http::ResponseWriterPtr Answer) {
--- a/src/instance/internal/trafficthread.h
+++ b/src/instance/internal/trafficthread.h
@@ -54,6 +54,7 @@
   asio::io_context Loop{1};
   asio::executor_work_guard<asio::io_context::executor_type> Guard;
   const Settings &Options;
+  base::MemoryBudgetPtr Memory;
   std::unique_ptr<forwarding::Forwarder> Forwarder;
   std::unique_ptr<http::HttpServer> Server;
   std::thread Thread;
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -40,6 +40,8 @@
   /// The platform's store.
   base::Endpoint Store;
   residency::Capacity Capacity;
+  /// Bytes of memory with which the process is ended by its platform.
+  std::size_t Memory = 256U << 20U;
   StopSettings Stop;
   dispatch::RetryBudgetSettings Repeats;
   /// How long the holder's lease lasts: short, as nobody gives orders between
--- a/src/instance/tests/settingstest.cpp
+++ b/src/instance/tests/settingstest.cpp
@@ -38,6 +38,14 @@
   EXPECT_GE(read(Bad).Problems.size(), 4U);
 }
 
+TEST(InstanceSettingsTest, TheMemoryIsThatOfTheMachine) {
+  nlohmann::json Given = exampleSettings();
+  Given["capacity"] = {{"memory_mb", 260}};
+  EXPECT_EQ(read(Given).Settings.Memory, 260U << 20U);
+  Given["capacity"] = {{"memory_mb", 0}};
+  EXPECT_EQ(read(Given).Problems.size(), 1U);
+}
+
 TEST(InstanceSettingsTest, AStopNeedsTimeToFinishWhatRuns) {
   nlohmann::json Bad = exampleSettings();
   Bad["stop"] = {{"grace_ms", 3000}, {"accept_for_ms", 2900}};
