--- a/src/residency/tests/holderturnstest.cpp
+++ b/src/residency/tests/holderturnstest.cpp
@@ -372,7 +372,9 @@
   Disturbances What;
 };
 
-void PrintTo(const TurnCase &Each, std::ostream *To) { *To << Each.Name; }
+std::ostream &operator<<(std::ostream &To, const TurnCase &Each) {
+  return To << Each.Name;
+}
 
 class HolderTurnsTest : public testing::TestWithParam<TurnCase> {};
 
