--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -94,7 +94,7 @@
       {"catalog", this->Catalog ? this->Catalog->Version.Value : 0}};
   if (const auto &Last = this->Lease.lastOrder())
     Fields["own_order_ms_ago"] = base::millisOf(Now - *Last);
-  base::logEvent(base::LogLevel::Info, "lease-gained", std::move(Fields));
+  base::logEvent(base::LogLevel::Info, "lease-gained", Fields);
 }
 
 void HolderRole::onRecord(const residency::LeaseRecord &Record) {
