--- a/src/control/control.h
+++ b/src/control/control.h
@@ -59,10 +59,11 @@
   /// time.
   std::chrono::milliseconds GiveUpAfter{200};
   /// Minimum time for which a holder keeps the lease before it yields to a
-  /// better equipped instance, so that such changes of holder stay rare. A
-  /// holder that is behind schedule yields once any earlier holder may order
-  /// again.
+  /// better equipped instance, so that such changes of holder stay rare.
   std::chrono::milliseconds MinHoldTime{5000};
+  /// The same if the holder is behind schedule: a new holder takes some time to
+  /// catch up.
+  std::chrono::milliseconds MinHoldTimeWhenBehind{2000};
   /// How long the holder's report of what engines hold stays valid.
   std::chrono::milliseconds HeldValidFor{2000};
   /// An instance that was silent for this long no longer counts when limits are
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -475,7 +475,7 @@
     if (this->ReportSendTimes.size() > MaxPendingReports)
       this->ReportSendTimes.erase(this->ReportSendTimes.begin());
     Out.set_claim_handicap_ms(
-        static_cast<std::uint32_t>(this->Lease.claimHandicap().count()));
+        static_cast<std::uint32_t>(this->Settings.Lease.Handicap.count()));
     Out.set_held_revision(this->Held.revision());
     Out.set_held_token(this->HeldToken);
     return Out;
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -122,15 +122,14 @@
   base::TimePoint Now = this->Clock.now();
   if (!this->Token)
     return false;
-  std::chrono::milliseconds MinHoldTime = this->Settings.Lease.turnInterval();
-  if (!Behind)
-    MinHoldTime = std::max(MinHoldTime, this->Settings.MinHoldTime);
-  if (Now < this->HeldSince + MinHoldTime)
+  if (Behind && Now >= this->HeldSince + this->Settings.MinHoldTimeWhenBehind)
+    return true;
+  if (Now < this->HeldSince + this->Settings.MinHoldTime)
     return false;
   return std::any_of(
       this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
         return Now < Each.second.HeardAt + this->Settings.SilentAfter &&
-               residency::shouldYield(this->Lease.claimHandicap(),
+               residency::shouldYield(this->Settings.Lease.Handicap,
                                       Each.second.Handicap);
       });
 }
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -43,8 +43,8 @@
   void onRecord(const residency::LeaseRecord &Record);
   /// Runs a planning round; must be called regularly.
   void tick();
-  /// Whether to give up the lease to another instance: one that is much better
-  /// equipped, or not behind schedule while this one is \p Behind.
+  /// Whether to give up the lease to another instance, because this one is
+  /// \p Behind schedule or a much better equipped one is available.
   bool shouldYield(bool Behind) const;
   /// Tells every instance that this one will not resume its lost or released
   /// lease.
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -61,10 +61,6 @@
   /// How long to wait for the answer to an append.
   std::chrono::milliseconds AppendTimeout{1000};
 
-  /// Time after which any earlier holder may order again.
-  std::chrono::milliseconds turnInterval() const {
-    return this->OrderTurn + this->OrderTransit + this->Drift;
-  }
   /// Whether a holder can order between two renewals.
   bool leavesTimeForOrders() const {
     return this->Duration + this->Drift > this->RenewEvery + this->OrderTransit;
@@ -165,9 +161,6 @@
   /// Sets whether this instance is behind schedule; its claims are then
   /// delayed.
   void setBehind(bool NewBehind) { this->Behind = NewBehind; }
-  /// The delay of this instance's claims relative to those of the best equipped
-  /// instances.
-  std::chrono::milliseconds claimHandicap() const;
   /// Sets what the next holder takes over. It is appended at once if it has
   /// changed.
   void setState(std::string New);
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -140,12 +140,6 @@
       std::max(this->ValidUntil - Now, base::Duration::zero()));
 }
 
-std::chrono::milliseconds HolderLease::claimHandicap() const {
-  return this->Settings.Handicap + (this->Behind
-                                        ? this->Settings.DeferDelay
-                                        : std::chrono::milliseconds(0));
-}
-
 base::TimePoint HolderLease::expiry() const {
   if (!this->Latest || this->Latest->Released)
     return this->ChangedAt;
