--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -71,6 +71,11 @@
                       std::function<void(AppendResult)> Done) = 0;
 };
 
+struct OrderOutcome {
+  residency::OrderAnswer Answer = residency::OrderAnswer::Unknown;
+  residency::OrderEnd End = residency::OrderEnd::Answered;
+};
+
 /// Requests reports from engines and sends them orders.
 class EngineClient {
 public:
@@ -85,7 +90,7 @@
   virtual void order(const catalog::Target &To, const residency::Order &What,
                      const base::InstanceId &Holder,
                      std::function<bool()> MayStillSend,
-                     std::function<void(residency::OrderAnswer)> Done) = 0;
+                     std::function<void(OrderOutcome)> Done) = 0;
   /// Abandons all orders under way, whose outcome is then Unknown: what has not
   /// reached its engine yet does not arrive later.
   virtual void abandonOrders() = 0;
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -452,17 +452,23 @@
       [this, Live = this->Alive, Token = What.Token] {
         return *Live && this->mayOrder(Token);
       },
-      [this, Live = this->Alive, What, SentAt](residency::OrderAnswer Answer) {
+      [this, Live = this->Alive, What, SentAt](OrderOutcome Outcome) {
         if (!*Live)
           return;
         base::TimePoint Now = this->Clock.now();
+        residency::OrderAnswer Answer = Outcome.Answer;
+        std::string_view End = residency::orderEndName(Outcome.End);
+        this->Metrics.counter("orders_ended", {{"end", std::string(End)}})
+            .add();
         base::logEvent(base::LogLevel::Info, "order-answered",
                        {{"target", What.Target.Value},
                         {"kind", residency::orderKindName(What.Kind)},
                         {"model", What.What.Model.Value},
                         {"adapter", What.What.Adapter.Value},
                         {"revision", What.ExpectedRevision},
+                        {"token", What.Token.Value},
                         {"answer", residency::orderAnswerName(Answer)},
+                        {"end", End},
                         {"after_ms", base::millisOf(Now - SentAt)}});
         this->Lease.onOrderEnded(Now);
         if (Answer == residency::OrderAnswer::Fenced &&
--- a/src/residency/internal/demandtracker.cpp
+++ b/src/residency/internal/demandtracker.cpp
@@ -15,6 +15,22 @@
   return Kind == OrderKind::Load ? "load" : "unload";
 }
 
+std::string_view orderEndName(OrderEnd End) {
+  switch (End) {
+  case OrderEnd::Answered:
+    return "answered";
+  case OrderEnd::NotSent:
+    return "not-sent";
+  case OrderEnd::Cut:
+    return "cut";
+  case OrderEnd::GivenUp:
+    return "given-up";
+  case OrderEnd::Abandoned:
+    return "abandoned";
+  }
+  return "";
+}
+
 std::string_view orderAnswerName(OrderAnswer Answer) {
   switch (Answer) {
   case OrderAnswer::Accepted:
--- a/src/residency/types.h
+++ b/src/residency/types.h
@@ -62,6 +62,25 @@
 
 std::string_view orderAnswerName(OrderAnswer Answer);
 
+/// How the call with an order ended; tells orders with an unknown outcome
+/// apart.
+enum class OrderEnd {
+  /// The engine answered.
+  Answered,
+  /// No connection could be made, or sending was no longer allowed: the engine
+  /// never gets the order.
+  NotSent,
+  /// The connection ended without an answer.
+  Cut,
+  /// No answer came in time; the engine may still read the order.
+  GivenUp,
+  /// The lease ended before the answer came; the engine may still read the
+  /// order.
+  Abandoned,
+};
+
+std::string_view orderEndName(OrderEnd End);
+
 /// An engine's state as reported by itself; some hundred milliseconds old.
 struct EngineReport {
   catalog::HeldModels Models;
