Orders that an engine reads late hold it back from other holders

Cause: a bound on waiting for an answer was taken for a bound on the order. An order without an answer for 700 ms was reset and counted as ended, but a reset takes back only what the engine's machine has not acknowledged. A late engine reads it seconds later: after the orders of the next holder, or so late that its sender, back as the holder, orders again within the platform's lease_ms.

Why it works: an order is followed on its connection until the engine answers it or drops the connection, 13 s at the most (EngineClient). OrderLedger keeps for each engine what may still arrive. The sender orders there again under a later lease only a turn after that; a release lists such engines, every instance reports its own to the holder, and no other holder orders there meanwhile. After a lapse the holder waits 300 ms for those reports. The turn holds for each engine now, and no longer for all of them: an instance that returns orders elsewhere at once.

--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -76,6 +76,18 @@
   residency::OrderEnd End = residency::OrderEnd::Answered;
 };
 
+struct OrderCallbacks {
+  /// Asked right before the order leaves; if it returns false, nothing is sent
+  /// and the answer is Conflict. May be empty.
+  std::function<bool()> MayStillSend;
+  /// Must be set. Called once: with the answer, or with an Unknown outcome when
+  /// it is no longer waited for.
+  std::function<void(OrderOutcome)> OnOutcome;
+  /// Must be set. Called once, at OnOutcome or later, when the order can no
+  /// longer arrive; with the engine's late answer, if it gave one.
+  std::function<void(OrderOutcome)> OnSettled;
+};
+
 /// Requests reports from engines and sends them orders.
 class EngineClient {
 public:
@@ -85,14 +97,11 @@
   virtual void
   report(const catalog::Target &From,
          std::function<void(std::optional<residency::EngineReport>)> Done) = 0;
-  /// \p MayStillSend is asked right before the order leaves; if it returns
-  /// false, nothing is sent and the answer is Conflict.
   virtual void order(const catalog::Target &To, const residency::Order &What,
                      const base::InstanceId &Holder,
-                     std::function<bool()> MayStillSend,
-                     std::function<void(OrderOutcome)> Done) = 0;
-  /// Abandons all orders under way, whose outcome is then Unknown: what has not
-  /// reached its engine yet does not arrive later.
+                     OrderCallbacks Callbacks) = 0;
+  /// Abandons all orders under way. Those that have not left are not sent; the
+  /// others are followed until they are settled.
   virtual void abandonOrders() = 0;
 };
 
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -4,6 +4,7 @@
 #include "base/visitor.h"
 #include "cataloglag.h"
 #include "catalogproof.h"
+#include "control/unsettledorders.h"
 #include "holderrole.h"
 #include "residency/lagdetector.h"
 
@@ -478,6 +479,8 @@
         static_cast<std::uint32_t>(this->Settings.Lease.Handicap.count()));
     Out.set_held_revision(this->Held.revision());
     Out.set_held_token(this->HeldToken);
+    writeUnsettled(this->Lease.unsettledOrders(this->Clock.now()),
+                   *Out.mutable_unsettled());
     return Out;
   }
 
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/visitor.h"
+#include "control/unsettledorders.h"
 
 #include <algorithm>
 #include <utility>
@@ -90,6 +91,7 @@
       {"previous_token", Before ? Before->Token.Value : 0},
       {"previous_released", Before && Before->Released},
       {"order_wait_ms", this->Lease.orderWait(Now).count()},
+      {"unsettled", this->Lease.allUnsettledOrders(Now).size()},
       {"engines", this->Holder.engines().views(Now).size()},
       {"catalog", this->Catalog ? this->Catalog->Version.Value : 0}};
   if (const auto &Last = this->Lease.lastOrder())
@@ -152,6 +154,8 @@
   this->Clients[From] = Now;
   if (this->OnCatalogVersion)
     this->OnCatalogVersion({Report.catalog_version()});
+  this->Lease.onUnsettledOrders({Instance, {Report.incarnation()}},
+                                readUnsettled(Report.unsettled()), Now);
   this->Holder.onUse(Instance, readItems(Report), Now);
   this->addEvidence(Report);
   wire::HolderReply Reply = this->newReply(Now);
@@ -268,9 +272,12 @@
     return;
   base::TimePoint Begun = this->Clock.now();
   this->updateInstanceCounts(Begun);
-  bool MayOrder = this->Lease.orderToken(Begun).has_value();
-  for (const residency::HolderCommand &Each :
-       this->Holder.tick(Begun, MayOrder))
+  residency::OrderGate Gate{
+      this->Lease.orderToken(Begun).has_value(),
+      [this, Begun](const base::TargetId &Engine, catalog::Lifetime Lifetime) {
+        return this->Lease.orderToken(Engine, Lifetime, Begun).has_value();
+      }};
+  for (const residency::HolderCommand &Each : this->Holder.tick(Begun, Gate))
     this->carryOut(Each);
   this->updateSuspects();
   this->publish();
@@ -407,20 +414,25 @@
   if (Target == nullptr)
     return;
   this->Engines.report(
-      *Target, [this, Live = this->Alive, Id = Command.Target](
+      *Target, [this, Live = this->Alive, Id = Command.Target,
+                AskedAt = this->Clock.now()](
                    const std::optional<residency::EngineReport> &Report) {
         if (!*Live)
           return;
-        if (!Report)
+        base::TimePoint Now = this->Clock.now();
+        if (Report)
+          this->Lease.onEngineReport(Id, AskedAt, Now);
+        else
           base::logEvent(base::LogLevel::Warn, "engine-silent",
                          {{"target", Id.Value}});
-        this->Holder.onReport(Id, Report, this->Clock.now());
+        this->Holder.onReport(Id, Report, Now);
         this->requestPlan();
       });
 }
 
-bool HolderRole::mayOrder(residency::FencingToken Under) const {
-  return this->Lease.orderToken(this->Clock.now()) == Under;
+bool HolderRole::mayOrder(const residency::Order &What) const {
+  return this->Lease.orderToken(What.Target, What.Lifetime,
+                                this->Clock.now()) == What.Token;
 }
 
 void HolderRole::sendOrder(const residency::SendOrder &Command) {
@@ -428,7 +440,7 @@
   const catalog::Target *To = this->Holder.engines().target(What.Target);
   base::TimePoint SentAt = this->Clock.now();
   // The lease may have expired during planning.
-  if (To == nullptr || !this->mayOrder(What.Token)) {
+  if (To == nullptr || !this->mayOrder(What)) {
     this->Holder.onAnswer(What, residency::OrderAnswer::Conflict, SentAt);
     return;
   }
@@ -446,37 +458,61 @@
                   {"token", What.Token.Value},
                   {"lease_left_ms", this->Lease.timeLeft(SentAt).count()},
                   {"reason", Command.Reason}});
-  this->Lease.onOrderSent();
-  this->Engines.order(
-      *To, What, this->Settings.Self,
-      [this, Live = this->Alive, Token = What.Token] {
-        return *Live && this->mayOrder(Token);
-      },
-      [this, Live = this->Alive, What, SentAt](OrderOutcome Outcome) {
-        if (!*Live)
-          return;
-        base::TimePoint Now = this->Clock.now();
-        residency::OrderAnswer Answer = Outcome.Answer;
-        std::string_view End = residency::orderEndName(Outcome.End);
-        this->Metrics.counter("orders_ended", {{"end", std::string(End)}})
-            .add();
-        base::logEvent(base::LogLevel::Info, "order-answered",
-                       {{"target", What.Target.Value},
-                        {"kind", residency::orderKindName(What.Kind)},
-                        {"model", What.What.Model.Value},
-                        {"adapter", What.What.Adapter.Value},
-                        {"revision", What.ExpectedRevision},
-                        {"token", What.Token.Value},
-                        {"answer", residency::orderAnswerName(Answer)},
-                        {"end", End},
-                        {"after_ms", base::millisOf(Now - SentAt)}});
-        this->Lease.onOrderEnded(Now);
-        if (Answer == residency::OrderAnswer::Fenced &&
-            What.Token == this->Token)
-          this->Lease.onFenced();
-        this->Holder.onAnswer(What, Answer, Now);
-        this->requestPlan();
-      });
+  this->Lease.onOrderSent(What.Target, What.Lifetime, SentAt);
+  OrderCallbacks Callbacks;
+  Callbacks.MayStillSend = [this, Live = this->Alive, What] {
+    return *Live && this->mayOrder(What);
+  };
+  Callbacks.OnOutcome = [this, Live = this->Alive, What,
+                         SentAt](OrderOutcome Outcome) {
+    if (*Live)
+      this->onOrderOutcome(What, Outcome, SentAt);
+  };
+  Callbacks.OnSettled = [this, Live = this->Alive, What,
+                         SentAt](OrderOutcome Outcome) {
+    if (*Live)
+      this->onOrderSettled(What, Outcome, SentAt);
+  };
+  this->Engines.order(*To, What, this->Settings.Self, std::move(Callbacks));
+}
+
+void HolderRole::logOrder(const char *Event, const residency::Order &What,
+                          OrderOutcome Outcome, base::TimePoint SentAt) const {
+  base::logEvent(base::LogLevel::Info, Event,
+                 {{"target", What.Target.Value},
+                  {"kind", residency::orderKindName(What.Kind)},
+                  {"model", What.What.Model.Value},
+                  {"adapter", What.What.Adapter.Value},
+                  {"revision", What.ExpectedRevision},
+                  {"token", What.Token.Value},
+                  {"answer", residency::orderAnswerName(Outcome.Answer)},
+                  {"end", residency::orderEndName(Outcome.End)},
+                  {"after_ms", base::millisOf(this->Clock.now() - SentAt)}});
+}
+
+void HolderRole::onOrderOutcome(const residency::Order &What,
+                                OrderOutcome Outcome, base::TimePoint SentAt) {
+  this->logOrder("order-answered", What, Outcome, SentAt);
+  this->Metrics
+      .counter("orders_ended",
+               {{"end", std::string(residency::orderEndName(Outcome.End))}})
+      .add();
+  this->Lease.onOrderEnded(What.Target);
+  if (Outcome.Answer == residency::OrderAnswer::Fenced &&
+      What.Token == this->Token)
+    this->Lease.onFenced();
+  this->Holder.onAnswer(What, Outcome.Answer, this->Clock.now());
+  this->requestPlan();
+}
+
+void HolderRole::onOrderSettled(const residency::Order &What,
+                                OrderOutcome Outcome, base::TimePoint SentAt) {
+  base::TimePoint Now = this->Clock.now();
+  this->Lease.onOrderSettled(What.Target, Now);
+  if (Now < SentAt + this->Settings.Lease.OrderTransit)
+    return;
+  this->logOrder("order-settled", What, Outcome, SentAt);
+  this->Metrics.histogram("order_late_ms").add(Now - SentAt);
 }
 
 } // namespace kingcuphub::control
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -87,8 +87,14 @@
   void carryOut(const residency::HolderCommand &Command);
   void requestReport(const residency::AskReport &Command);
   void sendOrder(const residency::SendOrder &Command);
-  /// Whether an order may be sent now under this token.
-  bool mayOrder(residency::FencingToken Under) const;
+  /// Whether the order may be sent now.
+  bool mayOrder(const residency::Order &What) const;
+  void onOrderOutcome(const residency::Order &What, OrderOutcome Outcome,
+                      base::TimePoint SentAt);
+  void onOrderSettled(const residency::Order &What, OrderOutcome Outcome,
+                      base::TimePoint SentAt);
+  void logOrder(const char *Event, const residency::Order &What,
+                OrderOutcome Outcome, base::TimePoint SentAt) const;
 
   const ControlSettings &Settings;
   EngineClient &Engines;
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -23,9 +23,10 @@
   std::function<std::unique_ptr<control::ControlStore>(
       asio::io_context &, http::HttpClient &, const base::Endpoint &Store)>
       MakeStore;
-  /// Orders arrive or are abandoned within \p OrderTransit.
+  /// The bounds of orders are those of the lease.
   std::function<std::unique_ptr<control::EngineClient>(
-      http::HttpClient &, std::chrono::milliseconds OrderTransit)>
+      asio::io_context &, http::HttpClient &,
+      const residency::HolderLeaseSettings &)>
       MakeEngines;
 };
 
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -26,8 +26,8 @@
       : Loop(Loop), Options(Options), Speaks(std::move(NewSpeaks)),
         Clock(Clock), Http(http::makeHttpClient(Loop, {MaxControlBytes})),
         Store(this->Speaks.MakeStore(Loop, *this->Http, this->Options.Store)),
-        Engines(this->Speaks.MakeEngines(*this->Http,
-                                         this->Options.lease().OrderTransit)),
+        Engines(
+            this->Speaks.MakeEngines(Loop, *this->Http, this->Options.lease())),
         Traffic(Loop, this->Options, *this->Speaks.Protocol, Clock,
                 this->Metrics,
                 {[this] { this->Control->reportSoon(); },
--- a/src/residency/enginetracker.h
+++ b/src/residency/enginetracker.h
@@ -10,6 +10,7 @@
 
 #include "residency/types.h"
 
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -25,7 +26,7 @@
   /// A report requested at least this long after an event reflects it.
   base::Duration ReportLag = std::chrono::milliseconds(200);
   /// An unanswered order may still be executed up to this much later.
-  base::Duration MaxOrderDelay = std::chrono::seconds(13);
+  base::Duration MaxOrderDelay = DefaultMaxOrderDelay;
   /// An item that an engine rejected as invalid is not ordered there again for
   /// this long.
   base::Duration RefusalBackoff = std::chrono::seconds(10);
@@ -81,10 +82,16 @@
                                   const Item &What, FencingToken Token,
                                   base::TimePoint Now);
   void onAnswer(const Order &Sent, OrderAnswer Answer, base::TimePoint Now);
+  /// Whether an engine may be given orders; any may if empty.
+  using Admission =
+      std::function<bool(const base::TargetId &, catalog::Lifetime)>;
+
   /// Unanswered orders that are due to be sent again, with the given token.
-  std::vector<Order> takeResends(FencingToken Token, base::TimePoint Now);
+  std::vector<Order> takeResends(FencingToken Token, base::TimePoint Now,
+                                 const Admission &Admits = {});
 
-  std::vector<EngineView> views(base::TimePoint Now) const;
+  std::vector<EngineView> views(base::TimePoint Now,
+                                const Admission &Admits = {}) const;
   /// The models and adapters that requests may be routed to, by target.
   catalog::HeldStates held(base::TimePoint Now) const;
   /// Estimated time at which each model that is being loaded becomes available.
--- a/src/residency/holder.h
+++ b/src/residency/holder.h
@@ -35,6 +35,12 @@
 };
 using HolderCommand = std::variant<AskReport, SendOrder>;
 
+/// To which engines orders may be given.
+struct OrderGate {
+  bool Open = true;
+  EngineTracker::Admission Admits;
+};
+
 class Holder {
 public:
   explicit Holder(HolderSettings Settings)
@@ -53,13 +59,15 @@
   void onReport(const base::TargetId &Id,
                 const std::optional<EngineReport> &Report, base::TimePoint Now);
   void onAnswer(const Order &Sent, OrderAnswer Answer, base::TimePoint Now);
-  /// Requests reports that are due and, if \p MayOrder, gives orders.
-  std::vector<HolderCommand> tick(base::TimePoint Now, bool MayOrder = true);
+  /// Requests reports that are due and gives the orders that \p Gate admits.
+  std::vector<HolderCommand> tick(base::TimePoint Now,
+                                  const OrderGate &Gate = {});
 
   const EngineTracker &engines() const { return this->Engines; }
 
 private:
-  void plan(base::TimePoint Now, std::vector<HolderCommand> &Out);
+  void plan(base::TimePoint Now, const OrderGate &Gate,
+            std::vector<HolderCommand> &Out);
 
   HolderSettings Settings;
   catalog::CatalogPtr Catalog;
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -9,6 +9,7 @@
 /// time at which it sent the accepted renewal; others wait for longer than that
 /// from when they read it. No I/O and no clock.
 
+#include "residency/orderledger.h"
 #include "residency/types.h"
 
 #include <deque>
@@ -37,6 +38,8 @@
   std::string State;
   /// Time from this record until its holder may give orders.
   std::chrono::milliseconds OrderWait{0};
+  /// Orders of this holder and of earlier ones that may still arrive.
+  std::vector<UnsettledOrders> Unsettled;
 };
 
 struct HolderLeaseSettings {
@@ -44,12 +47,18 @@
   std::chrono::milliseconds RenewEvery{1000};
   /// Allows for the drift between the clocks of two instances over a lease.
   std::chrono::milliseconds Drift{300};
-  /// Minimum time from an instance's last order to its next one if another
-  /// instance may have ordered in between.
+  /// Minimum time from an instance's last order to an engine to its next one
+  /// there if another instance may have ordered in between.
   std::chrono::milliseconds OrderTurn{3000};
-  /// Maximum time from the check that precedes an order until the order has
-  /// arrived or has been abandoned.
+  /// Maximum time from the check that precedes an order until the engine's
+  /// machine has it or never will.
   std::chrono::milliseconds OrderTransit{700};
+  /// How long a new holder waits for what the others report of their unsettled
+  /// orders if the lease before has lapsed: longer than the interval of
+  /// reports.
+  std::chrono::milliseconds ReportWait{300};
+  /// An order that was not answered counts as settled after this time.
+  std::chrono::milliseconds MaxOrderDelay = DefaultMaxOrderDelay;
   /// Claims are delayed at random by up to this time, so that few collide.
   std::chrono::milliseconds ClaimSpread{500};
   /// Additional delay of this instance's claims (see capacity.h).
@@ -125,7 +134,8 @@
   /// orders.
   void onFenced();
   /// Gives the lease back; any instance may claim it. No more orders are given,
-  /// and the release is appended once none is under way: now, or by tick().
+  /// and the release is appended once none is in transit, of this process and
+  /// of those before it: now, or by tick().
   std::optional<LeaseAppend> yield(base::TimePoint Now);
   /// Gives the lease back for a graceful shutdown; this instance claims it no
   /// more.
@@ -135,20 +145,49 @@
 
   /// The token if the lease is held at \p Now.
   std::optional<FencingToken> held(base::TimePoint Now) const;
-  /// The token if an order may be sent at \p Now; must be checked right before.
+  /// The token if orders may be sent at \p Now at all.
+  std::optional<FencingToken> orderToken(base::TimePoint Now) const;
+  /// The token if an order to \p Engine may be sent at \p Now; must be checked
+  /// right before.
   ///
   /// Load pattern: holders are stopped, slowed or cut off in series, so that
   /// the lease returns to an instance within OrderTurn. An instance orders
-  /// again only if nobody else may have ordered since, or OrderTurn has passed.
-  std::optional<FencingToken> orderToken(base::TimePoint Now) const;
+  /// again at an engine only if nobody else may have ordered there since, or
+  /// OrderTurn has passed, and while no order of another holder may arrive
+  /// there.
+  std::optional<FencingToken> orderToken(const base::TargetId &Engine,
+                                         catalog::Lifetime Lifetime,
+                                         base::TimePoint Now) const;
   /// Time until this instance may order under its latest claim.
   std::chrono::milliseconds orderWait(base::TimePoint Now) const;
-  /// Must be called for each order that is sent, and once it has been answered
-  /// or abandoned.
-  void onOrderSent() { ++this->OrdersUnderWay; }
-  void onOrderEnded(base::TimePoint Now);
+  /// Must be called for each order that is sent; once it has been answered or
+  /// its sender no longer waits for the answer; and, then or later, once it can
+  /// no longer arrive.
+  void onOrderSent(const base::TargetId &Engine, catalog::Lifetime Lifetime,
+                   base::TimePoint Now);
+  void onOrderEnded(const base::TargetId &Engine);
+  void onOrderSettled(const base::TargetId &Engine, base::TimePoint Now);
   bool hasOrdersUnderWay() const { return this->OrdersUnderWay > 0; }
-  /// When this instance's latest order ended, if it has sent any.
+  /// This process's orders that may still arrive; other instances report them
+  /// to the holder.
+  std::vector<UnsettledOrders> unsettledOrders(base::TimePoint Now) const {
+    return this->Ledger.own(Now);
+  }
+  /// The same with those of others that this instance knows of.
+  std::vector<UnsettledOrders> allUnsettledOrders(base::TimePoint Now) const {
+    return this->Ledger.all(Now);
+  }
+  /// Handles that the process \p Sender has no other unsettled orders than
+  /// \p Current.
+  void onUnsettledOrders(const OrderSender &Sender,
+                         const std::vector<UnsettledOrders> &Current,
+                         base::TimePoint Now);
+  /// Handles a report of an engine that was requested at \p AskedAt.
+  void onEngineReport(const base::TargetId &Engine, base::TimePoint AskedAt,
+                      base::TimePoint Now) {
+    this->Ledger.onEngineReport(Engine, AskedAt, Now);
+  }
+  /// When this instance's latest order was settled, if any was.
   const std::optional<base::TimePoint> &lastOrder() const {
     return this->LastOrderAt;
   }
@@ -193,8 +232,14 @@
   /// When the lease may be claimed by the instance without any delay.
   base::TimePoint expiry() const;
   base::TimePoint earliestClaimTime() const;
-  /// When this instance may order if it claims the lease at \p Now.
-  base::TimePoint earliestOrderTime(base::TimePoint Now) const;
+  /// When this instance may order if it claims the lease.
+  base::TimePoint earliestOrderTime() const;
+  /// When no orders of an earlier process of this machine are in transit.
+  base::TimePoint transitEnd() const {
+    return this->StartedAt + this->Settings.OrderTransit;
+  }
+  /// Takes over what is known of earlier orders, for a claim under \p Token.
+  void takeOver(FencingToken Token, base::TimePoint Now);
   std::optional<LeaseAppend> releaseIfIdle(base::TimePoint Now);
   LeaseAppend append(bool Release, unsigned Instances, base::TimePoint Now);
   void drawClaimDelay();
@@ -222,6 +267,9 @@
   base::TimePoint StartedAt;
   std::optional<base::TimePoint> LastOrderAt;
   std::size_t OrdersUnderWay = 0;
+  OrderLedger Ledger;
+  /// When all unsettled orders of earlier holders are known.
+  base::TimePoint UnsettledKnownAt;
   /// When this instance may order under its latest claim.
   base::TimePoint OrderFrom;
   bool Yielding = false;
--- a/src/residency/internal/enginetracker.cpp
+++ b/src/residency/internal/enginetracker.cpp
@@ -260,11 +260,14 @@
 }
 
 std::vector<Order> EngineTracker::takeResends(FencingToken Token,
-                                              base::TimePoint Now) {
+                                              base::TimePoint Now,
+                                              const Admission &Admits) {
   std::vector<Order> Out;
   for (auto &[Id, Each] : this->Engines) {
-    if (!Each.Open || Each.Open->InFlight ||
-        Now < Each.Open->SentAt + this->Settings.ResendInterval)
+    bool Due = Each.Open && !Each.Open->InFlight &&
+               Now >= Each.Open->SentAt + this->Settings.ResendInterval &&
+               (!Admits || Admits(Id, Each.Lifetime));
+    if (!Due)
       continue;
     Each.Open->InFlight = true;
     Each.Open->SentAt = Now;
@@ -325,11 +328,17 @@
   return Out;
 }
 
-std::vector<EngineView> EngineTracker::views(base::TimePoint Now) const {
+std::vector<EngineView> EngineTracker::views(base::TimePoint Now,
+                                             const Admission &Admits) const {
   std::vector<EngineView> Out;
-  for (const auto &[Id, Each] : this->Engines)
-    if (const catalog::Target *Listed = this->target(Id))
-      Out.push_back(this->view(Id, Each, *Listed, Now));
+  for (const auto &[Id, Each] : this->Engines) {
+    const catalog::Target *Listed = this->target(Id);
+    if (Listed == nullptr)
+      continue;
+    Out.push_back(this->view(Id, Each, *Listed, Now));
+    if (Admits && !Admits(Id, Each.Lifetime))
+      Out.back().AcceptsModelOrder = Out.back().AcceptsAdapterOrder = false;
+  }
   return Out;
 }
 
--- a/src/residency/internal/holder.cpp
+++ b/src/residency/internal/holder.cpp
@@ -42,22 +42,25 @@
   this->Engines.onAnswer(Sent, Answer, Now);
 }
 
-std::vector<HolderCommand> Holder::tick(base::TimePoint Now, bool MayOrder) {
+std::vector<HolderCommand> Holder::tick(base::TimePoint Now,
+                                        const OrderGate &Gate) {
   std::vector<HolderCommand> Out;
   if (!this->Token || !this->Catalog)
     return Out;
   for (const base::TargetId &Each : this->Engines.takeDueReports(Now))
     Out.emplace_back(AskReport{Each});
-  if (!MayOrder)
+  if (!Gate.Open)
     return Out;
-  for (const Order &Each : this->Engines.takeResends(*this->Token, Now))
+  for (const Order &Each :
+       this->Engines.takeResends(*this->Token, Now, Gate.Admits))
     Out.emplace_back(SendOrder{Each, "no-answer"});
-  this->plan(Now, Out);
+  this->plan(Now, Gate, Out);
   return Out;
 }
 
-void Holder::plan(base::TimePoint Now, std::vector<HolderCommand> &Out) {
-  std::vector<EngineView> Views = this->Engines.views(Now);
+void Holder::plan(base::TimePoint Now, const OrderGate &Gate,
+                  std::vector<HolderCommand> &Out) {
+  std::vector<EngineView> Views = this->Engines.views(Now, Gate.Admits);
   for (const auto &[Id, Service] : this->Catalog->Services) {
     if (!Service.Engine)
       continue;
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -36,7 +36,10 @@
                          base::TimePoint NewStartedAt)
     : Self(std::move(NewSelf)), Incarnation(NewIncarnation),
       Endpoint(std::move(NewEndpoint)), Settings(NewSettings), Random(Seed),
-      StartedAt(NewStartedAt) {
+      StartedAt(NewStartedAt),
+      Ledger({this->Self, this->Incarnation},
+             {this->Settings.OrderTurn, this->Settings.Drift,
+              this->Settings.MaxOrderDelay}) {
   this->drawClaimDelay();
 }
 
@@ -105,11 +108,10 @@
     Out.Record.State = this->State;
   else if (this->Latest)
     Out.Record.State = this->Latest->State;
-  if (!this->claimedHere()) {
-    this->Predecessor = this->Latest;
-    this->OrderFrom = this->earliestOrderTime(Now);
-  }
+  if (!this->claimedHere())
+    this->takeOver(Out.Record.Token, Now);
   Out.Record.OrderWait = this->orderWait(Now);
+  Out.Record.Unsettled = this->Ledger.all(Now);
   this->StateAppended = true;
   this->LastInstances = Instances;
   this->LastSentAt = Now;
@@ -121,6 +123,20 @@
   return Out;
 }
 
+void HolderLease::takeOver(FencingToken Token, base::TimePoint Now) {
+  this->Predecessor = this->Latest;
+  this->OrderFrom = this->earliestOrderTime();
+  this->Ledger.onClaim(Token, this->isLatestOwn());
+  if (!this->Latest)
+    return;
+  this->Ledger.inherit(this->Latest->Unsettled, this->ChangedAt);
+  // The last record of a lapsed lease does not list what was sent after it.
+  if (!this->Latest->Released && !this->isLatestOwn()) {
+    this->UnsettledKnownAt = Now + this->Settings.ReportWait;
+    this->OrderFrom = std::max(this->OrderFrom, this->UnsettledKnownAt);
+  }
+}
+
 void HolderLease::onReportedExpiry(LeaseLogEnd ReportedEnd,
                                    std::chrono::milliseconds Left,
                                    base::TimePoint Now) {
@@ -162,39 +178,53 @@
   base::TimePoint From = this->expiry() + this->Delay;
   base::TimePoint Latest = From + this->Settings.DeferDelay;
   return this->Behind ? Latest
-                      : std::clamp(this->earliestOrderTime(From), From, Latest);
+                      : std::clamp(this->earliestOrderTime(), From, Latest);
 }
 
-base::TimePoint HolderLease::earliestOrderTime(base::TimePoint Now) const {
+base::TimePoint HolderLease::earliestOrderTime() const {
   bool LogIsNew = !this->Latest && this->End == LeaseLogEnd{};
   if (LogIsNew)
     return {};
   // Nobody else has held the lease since.
   if (this->isLatestOwn() && this->Latest->Incarnation == this->Incarnation)
     return this->OrderFrom;
-  // Orders of the process before may still be in transit.
   if (this->isLatestOwn())
     return std::max(this->ChangedAt + this->Latest->OrderWait,
-                    this->StartedAt + this->Settings.OrderTransit);
-  base::TimePoint LastOrder =
-      this->LastOrderAt.value_or(this->StartedAt + this->Settings.OrderTransit);
-  if (this->hasOrdersUnderWay())
-    LastOrder = std::max(LastOrder, Now + this->Settings.OrderTransit);
-  return LastOrder + this->Settings.OrderTurn + this->Settings.Drift;
+                    this->transitEnd());
+  // At which engines an earlier process of this machine has ordered is unknown.
+  return this->transitEnd() + this->Settings.OrderTurn + this->Settings.Drift;
 }
 
 std::chrono::milliseconds HolderLease::orderWait(base::TimePoint Now) const {
-  return std::chrono::ceil<std::chrono::milliseconds>(
-      std::max(this->OrderFrom - Now, base::Duration::zero()));
+  return base::millisUntil(this->OrderFrom, Now);
+}
+
+void HolderLease::onOrderSent(const base::TargetId &Engine,
+                              catalog::Lifetime Lifetime, base::TimePoint Now) {
+  ++this->OrdersUnderWay;
+  this->Ledger.onSent(Engine, Lifetime, Now);
 }
 
-void HolderLease::onOrderEnded(base::TimePoint Now) {
+void HolderLease::onOrderEnded(const base::TargetId &Engine) {
   --this->OrdersUnderWay;
+  this->Ledger.onEnded(Engine);
+}
+
+void HolderLease::onOrderSettled(const base::TargetId &Engine,
+                                 base::TimePoint Now) {
   this->LastOrderAt = Now;
+  this->Ledger.onSettled(Engine, Now);
+}
+
+void HolderLease::onUnsettledOrders(const OrderSender &Sender,
+                                    const std::vector<UnsettledOrders> &Current,
+                                    base::TimePoint Now) {
+  this->Ledger.replace(Sender, Current, Now);
 }
 
 std::optional<LeaseAppend> HolderLease::tick(unsigned Instances,
                                              base::TimePoint Now) {
+  this->Ledger.prune(Now);
   if (!this->End)
     return std::nullopt;
   if (this->Yielding || this->Leaving)
@@ -255,7 +285,9 @@
   }
   bool AppendPending = this->PendingSince &&
                        Now < *this->PendingSince + this->Settings.AppendTimeout;
-  if (!this->End || AppendPending || this->hasOrdersUnderWay())
+  // The record does not list orders in transit, nor those unheard of.
+  bool InTransit = this->hasOrdersUnderWay() || Now < this->UnsettledKnownAt;
+  if (!this->End || AppendPending || InTransit)
     return std::nullopt;
   this->Yielding = false;
   this->ValidUntil = {};
@@ -291,4 +323,11 @@
   return this->held(Now);
 }
 
+std::optional<FencingToken>
+HolderLease::orderToken(const base::TargetId &Engine,
+                        catalog::Lifetime Lifetime, base::TimePoint Now) const {
+  return this->Ledger.mayOrder(Engine, Lifetime, Now) ? this->orderToken(Now)
+                                                      : std::nullopt;
+}
+
 } // namespace kingcuphub::residency
--- a/src/residency/tests/enginetrackertest.cpp
+++ b/src/residency/tests/enginetrackertest.cpp
@@ -105,6 +105,15 @@
   EXPECT_EQ(this->view().ReservedMb, 80);
 }
 
+TEST_F(EngineTrackerTest, AnEngineThatIsNotAdmittedAcceptsNoOrders) {
+  auto Nobody = [](const base::TargetId &, catalog::Lifetime) { return false; };
+  EXPECT_TRUE(this->view().AcceptsModelOrder);
+  EngineView HeldBack = this->Tracker.views(this->Now, Nobody).front();
+  EXPECT_FALSE(HeldBack.AcceptsModelOrder);
+  EXPECT_FALSE(HeldBack.AcceptsAdapterOrder);
+  EXPECT_TRUE(HeldBack.Usable);
+}
+
 /// The first copy of a load may reach the engine in its next lifetime, in which
 /// the expected revision occurs again.
 TEST_F(EngineTrackerTest, ALateLoadReservesMemoryInTheNextLifetime) {
--- a/src/residency/types.h
+++ b/src/residency/types.h
@@ -29,6 +29,10 @@
   bool isAdapter() const { return !this->Adapter.empty(); }
 };
 
+/// An order that was not answered may arrive, or be executed, up to this much
+/// later.
+constexpr std::chrono::seconds DefaultMaxOrderDelay{13};
+
 enum class OrderKind { Load, Unload };
 
 struct Order {
