A process that has just started does not release the lease at once

Cause: a new process on the holder's machine claims at once and waits 700 ms for what its predecessor sent. If it gave the lease back in that time, nobody waited for the rest: the successor ordered while the predecessor's orders were in transit, as the release looked at the process's own orders only.

AProcessThatHasJustStartedDoesNotReleaseTheLease is the case alone.

Why it works: the release waits, like for orders of its own, until the predecessor's have arrived or never will; at the longest 0.7 s after the start. To pass the wait on in the record was weighed: it would be one more thing that a claimant has to honour.

--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -285,8 +285,9 @@
   }
   bool AppendPending = this->PendingSince &&
                        Now < *this->PendingSince + this->Settings.AppendTimeout;
-  // The record does not list orders in transit, nor those unheard of.
-  bool InTransit = this->hasOrdersUnderWay() || Now < this->UnsettledKnownAt;
+  // The record lists no orders that are in transit.
+  bool InTransit = this->hasOrdersUnderWay() || Now < this->transitEnd() ||
+                   Now < this->UnsettledKnownAt;
   if (!this->End || AppendPending || InTransit)
     return std::nullopt;
   this->Yielding = false;
--- a/src/residency/tests/holderleasetest.cpp
+++ b/src/residency/tests/holderleasetest.cpp
@@ -457,6 +457,20 @@
   EXPECT_TRUE(Lease.tick(1, Now + milliseconds(300)));
 }
 
+/// The process before it may have sent orders that nobody can list.
+TEST(HolderLeaseTest, AProcessThatHasJustStartedDoesNotReleaseTheLease) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  LeaseRecord Own = releasedBy("a", {7});
+  Own.Incarnation = {1};
+  Own.Released = false;
+  HolderLease Lease({"a"}, {2}, "a", {}, 1, Now);
+  Lease.onRead(Own, {7}, Now);
+  Lease.onAppended(*Lease.tick(1, Now), Now);
+  EXPECT_FALSE(Lease.release(Now + milliseconds(50)));
+  EXPECT_FALSE(Lease.tick(1, Now + milliseconds(699)));
+  EXPECT_TRUE(Lease.tick(1, Now + milliseconds(700)));
+}
+
 TEST(HolderLeaseTest, NoOrderIsSentThatMayArriveAfterTheLease) {
   base::TimePoint Now{std::chrono::hours(1)};
   HolderLease Lease = makeHolder("a", Now);
