An engine that reads nothing gets no copies of an order

Cause: an order that was given up was sent again after 300 ms, whether or not the engine had answered anything since, so that a late engine had a copy a second waiting, each of which is an order by the platform's rule.

Evidence: AnEngineThatReadsNothingGetsNoCopiesOfAnOrder fails on the code before, at both checks.

Why it works: the order is sent again once the engine has answered a request for a report that was made since; the request leaves at once when the order is given up, so that an engine whose answer was lost is asked again as soon as before.

--- a/src/residency/enginetracker.h
+++ b/src/residency/enginetracker.h
@@ -86,7 +86,8 @@
   using Admission =
       std::function<bool(const base::TargetId &, catalog::Lifetime)>;
 
-  /// Unanswered orders that are due to be sent again, with the given token.
+  /// Unanswered orders that are due to be sent again, with the given token. An
+  /// engine that has answered nothing since has not read the first one either.
   std::vector<Order> takeResends(FencingToken Token, base::TimePoint Now,
                                  const Admission &Admits = {});
 
@@ -106,6 +107,9 @@
     Order What;
     base::TimePoint SentAt;
     bool InFlight = true;
+    /// The engine has answered a request for a report made since the order was
+    /// given up.
+    bool EngineHeard = false;
   };
   /// A load with an unknown outcome: a copy of it may still be executed.
   struct LateLoad {
@@ -120,6 +124,7 @@
     EngineReport State;
     base::TimePoint ReportDueAt;
     bool ReportPending = false;
+    base::TimePoint ReportAskedAt;
     /// An accepted model order, or unload of an adapter, whose completion no
     /// report has shown yet.
     std::optional<Order> Running;
--- a/src/residency/internal/enginetracker.cpp
+++ b/src/residency/internal/enginetracker.cpp
@@ -107,6 +107,7 @@
     if (Each.ReportPending || Now < Each.ReportDueAt)
       continue;
     Each.ReportPending = true;
+    Each.ReportAskedAt = Now;
     Due.push_back(Id);
   }
   return Due;
@@ -165,6 +166,8 @@
     // revision that has passed.
     if (RevisionPassed && !Entry.Open->InFlight)
       Entry.Open.reset();
+    else if (Entry.Open && !Entry.Open->InFlight)
+      Entry.Open->EngineHeard |= Entry.ReportAskedAt >= Entry.Open->SentAt;
     this->applyReport(Entry, *Report, Now);
   }
   bool PollSoon =
@@ -227,6 +230,7 @@
   if (Answer == OrderAnswer::Unknown) {
     Entry.Open->InFlight = false;
     Entry.Open->SentAt = Now;
+    Entry.ReportDueAt = std::min(Entry.ReportDueAt, Now);
     if (Sent.Kind == OrderKind::Load)
       Entry.LateLoads.push_back({Sent.What, Entry.Lifetime,
                                  Sent.ExpectedRevision,
@@ -264,12 +268,13 @@
                                               const Admission &Admits) {
   std::vector<Order> Out;
   for (auto &[Id, Each] : this->Engines) {
-    bool Due = Each.Open && !Each.Open->InFlight &&
+    bool Due = Each.Open && !Each.Open->InFlight && Each.Open->EngineHeard &&
                Now >= Each.Open->SentAt + this->Settings.ResendInterval &&
                (!Admits || Admits(Id, Each.Lifetime));
     if (!Due)
       continue;
     Each.Open->InFlight = true;
+    Each.Open->EngineHeard = false;
     Each.Open->SentAt = Now;
     Each.Open->What.Token = Token;
     Out.push_back(Each.Open->What);
--- a/src/residency/tests/enginetrackertest.cpp
+++ b/src/residency/tests/enginetrackertest.cpp
@@ -99,12 +99,33 @@
   this->Tracker.onAnswer(*Sent, OrderAnswer::Unknown, this->Now);
   EXPECT_TRUE(this->Tracker.takeResends({1}, this->Now).empty());
   this->Now += milliseconds(400);
+  ASSERT_EQ(this->Tracker.takeDueReports(this->Now).size(), 1U);
+  this->report({{ModelA.Model, {}}}, 0);
   auto Again = this->Tracker.takeResends({1}, this->Now);
   ASSERT_EQ(Again.size(), 1U);
   EXPECT_EQ(Again[0].ExpectedRevision, Sent->ExpectedRevision);
   EXPECT_EQ(this->view().ReservedMb, 80);
 }
 
+/// It would read all copies at once when it catches up.
+TEST_F(EngineTrackerTest, AnEngineThatReadsNothingGetsNoCopiesOfAnOrder) {
+  auto Sent = this->Tracker.beginOrder(Engine1, OrderKind::Load, ModelB, {1},
+                                       this->Now);
+  ASSERT_EQ(this->Tracker.takeDueReports(this->Now + milliseconds(2000)).size(),
+            1U);
+  this->Now += milliseconds(2500);
+  this->Tracker.onAnswer(*Sent, OrderAnswer::Unknown, this->Now);
+  this->Now += milliseconds(5000);
+  EXPECT_TRUE(this->Tracker.takeResends({1}, this->Now).empty());
+  // The report was asked for before the order was given up.
+  this->report({{ModelA.Model, {}}}, 0);
+  EXPECT_TRUE(this->Tracker.takeResends({1}, this->Now).empty());
+  this->Now += milliseconds(250);
+  ASSERT_EQ(this->Tracker.takeDueReports(this->Now).size(), 1U);
+  this->report({{ModelA.Model, {}}}, 0);
+  EXPECT_EQ(this->Tracker.takeResends({1}, this->Now).size(), 1U);
+}
+
 TEST_F(EngineTrackerTest, AnEngineThatIsNotAdmittedAcceptsNoOrders) {
   auto Nobody = [](const base::TargetId &, catalog::Lifetime) { return false; };
   EXPECT_TRUE(this->view().AcceptsModelOrder);
