The late order of a process that has ended is passed on for a turn

Cause: what an engine's report had settled for a silent sender was no longer listed in the record of the lease, so that the sender's next process could hold the lease and order there within the turn.

Evidence: TheLateOrderOfAnEndedProcessIsPassedOnForATurn fails before.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -5,7 +5,6 @@
 /// Time is passed in: decision modules take a TimePoint with each call, and
 /// the loops that drive them take a Clock.
 
-#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -23,13 +22,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
 }
 
-/// Whole milliseconds from \p Now until \p At, rounded up; none if it has
-/// passed.
-inline std::chrono::milliseconds millisUntil(TimePoint At, TimePoint Now) {
-  return std::chrono::ceil<std::chrono::milliseconds>(
-      std::max(At - Now, Duration::zero()));
-}
-
 /// Where a loop reads the time.
 class Clock {
 public:
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -196,7 +196,8 @@
 }
 
 std::chrono::milliseconds HolderLease::orderWait(base::TimePoint Now) const {
-  return base::millisUntil(this->OrderFrom, Now);
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(this->OrderFrom - Now, base::Duration::zero()));
 }
 
 void HolderLease::onOrderSent(const base::TargetId &Engine,
--- a/src/residency/internal/orderledger.cpp
+++ b/src/residency/internal/orderledger.cpp
@@ -5,6 +5,15 @@
 
 namespace kingcuphub::residency {
 
+namespace {
+
+/// Below zero if \p At has passed.
+std::chrono::milliseconds timeUntil(base::TimePoint At, base::TimePoint Now) {
+  return std::chrono::ceil<std::chrono::milliseconds>(At - Now);
+}
+
+} // namespace
+
 void OrderLedger::onClaim(FencingToken Token, bool Continues) {
   FencingToken Earlier = std::exchange(this->Claim, Token);
   if (!Continues)
@@ -99,9 +108,9 @@
   std::vector<UnsettledOrders> Out;
   for (const auto &[Engine, Each] : this->Own)
     if (Each.Unsettled > Each.UnderWay)
-      Out.push_back({this->Self, Engine, Each.Lifetime,
-                     base::millisUntil(
-                         Each.LastSentAt + this->Settings.MaxOrderDelay, Now)});
+      Out.push_back(
+          {this->Self, Engine, Each.Lifetime,
+           timeUntil(Each.LastSentAt + this->Settings.MaxOrderDelay, Now)});
   return Out;
 }
 
@@ -109,9 +118,8 @@
   std::vector<UnsettledOrders> Out = this->own(Now);
   for (const auto &[Engine, Senders] : this->Others)
     for (const auto &[Sender, Each] : Senders)
-      if (Now < Each.Until)
-        Out.push_back({Sender, Engine, Each.Lifetime,
-                       base::millisUntil(Each.Until, Now)});
+      Out.push_back(
+          {Sender, Engine, Each.Lifetime, timeUntil(Each.Until, Now)});
   return Out;
 }
 
--- a/src/residency/tests/orderledgertest.cpp
+++ b/src/residency/tests/orderledgertest.cpp
@@ -121,6 +121,23 @@
   EXPECT_TRUE(this->mayOrder());
 }
 
+/// The sender's next process would else order again within the turn.
+TEST_F(OrderLedgerTest, TheLateOrderOfAnEndedProcessIsPassedOnForATurn) {
+  this->Ledger.onClaim({1}, false);
+  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now);
+  this->Now += milliseconds(2000);
+  this->Ledger.onEngineReport(Engine, this->Now, this->Now);
+  this->Now += milliseconds(500);
+  this->Ledger.prune(this->Now);
+  ASSERT_EQ(this->Ledger.all(this->Now).size(), 1U);
+  EXPECT_EQ(this->Ledger.all(this->Now)[0].Left, milliseconds(-500));
+  OrderLedger Next({Other.Instance, {2}}, {});
+  Next.onClaim({3}, false);
+  Next.inherit(this->Ledger.all(this->Now), this->Now);
+  EXPECT_FALSE(Next.mayOrder(Engine, Life, this->Now + milliseconds(2799)));
+  EXPECT_TRUE(Next.mayOrder(Engine, Life, this->Now + milliseconds(2800)));
+}
+
 TEST_F(OrderLedgerTest, ALateOrderThatIsHeardOfLateStartsATurn) {
   this->Ledger.onClaim({1}, false);
   this->send();
