--- a/standins/common/rawconnection.cpp
+++ b/standins/common/rawconnection.cpp
@@ -29,7 +29,23 @@
                 this->Incoming.Body.append(Piece);
               }}) {}
 
-void RawConnection::start() { this->read(); }
+void RawConnection::start() {
+  if (!this->Paused)
+    this->read();
+}
+
+void RawConnection::pause() {
+  this->Paused = true;
+  asio::error_code Ignored;
+  // It may have ended before.
+  this->Socket.cancel(Ignored);
+}
+
+void RawConnection::resume() {
+  this->Paused = false;
+  if (this->Socket.is_open() && !this->Reading)
+    this->read();
+}
 
 void RawConnection::write(std::string_view Bytes) {
   asio::error_code Ignored;
@@ -73,19 +89,28 @@
 }
 
 void RawConnection::read() {
-  this->Socket.async_read_some(asio::buffer(this->Buffer),
-                               [Self = this->shared_from_this()](
-                                   asio::error_code Failed, std::size_t N) {
-                                 if (Failed) {
-                                   Self->PeerGone = true;
-                                   asio::error_code Ignored;
-                                   Self->Socket.close(Ignored);
-                                   return;
-                                 }
-                                 Self->take({Self->Buffer.data(), N});
-                                 if (Self->Socket.is_open())
-                                   Self->read();
-                               });
+  this->Reading = true;
+  this->Socket.async_read_some(
+      asio::buffer(this->Buffer), [Self = this->shared_from_this()](
+                                      asio::error_code Failed, std::size_t N) {
+        Self->Reading = false;
+        bool Cancelled = Failed == asio::error::operation_aborted;
+        if (Cancelled && Self->Socket.is_open()) {
+          // It may have been resumed before this was called.
+          if (!Self->Paused)
+            Self->read();
+          return;
+        }
+        if (Failed) {
+          Self->PeerGone = true;
+          asio::error_code Ignored;
+          Self->Socket.close(Ignored);
+          return;
+        }
+        Self->take({Self->Buffer.data(), N});
+        if (Self->Socket.is_open() && !Self->Paused)
+          Self->read();
+      });
 }
 
 void RawConnection::take(std::string_view Bytes) {
--- a/standins/common/rawconnection.h
+++ b/standins/common/rawconnection.h
@@ -29,6 +29,10 @@
 
   RawConnection(asio::ip::tcp::socket Socket, Handler Take);
   void start();
+  /// Reads nothing until resume(): what arrives waits in the system, as for a
+  /// process that does not run.
+  void pause();
+  void resume();
 
   /// For answers that fit into the socket's buffer.
   void write(std::string_view Bytes);
@@ -61,6 +65,8 @@
   unsigned Requests = 0;
   std::size_t WrittenWithoutEnd = 0;
   bool PeerGone = false;
+  bool Paused = false;
+  bool Reading = false;
 };
 
 } // namespace kingcuphub::standin
--- a/standins/common/rawserver.cpp
+++ b/standins/common/rawserver.cpp
@@ -17,6 +17,7 @@
 }
 
 RawServer::~RawServer() {
+  *this->Alive = false;
   for (const auto &Each : this->Connections)
     Each->reset();
 }
@@ -33,15 +34,43 @@
     Each->end();
 }
 
+void RawServer::pause() {
+  this->Paused = true;
+  asio::error_code Ignored;
+  // It may have ended before.
+  this->Listener.cancel(Ignored);
+  for (const auto &Each : this->Connections)
+    Each->pause();
+}
+
+void RawServer::resume() {
+  this->Paused = false;
+  for (const auto &Each : this->Connections)
+    Each->resume();
+  if (this->Listener.is_open() && !this->Accepting)
+    this->accept();
+}
+
 void RawServer::accept() {
-  this->Listener.async_accept([this](asio::error_code Failed, tcp::socket New) {
-    if (Failed)
+  this->Accepting = true;
+  this->Listener.async_accept([this, Live = this->Alive](
+                                  asio::error_code Failed, tcp::socket New) {
+    if (!*Live)
       return;
-    ++this->Accepted;
-    auto Each = std::make_shared<RawConnection>(std::move(New), this->Take);
-    this->Connections.insert(Each);
-    Each->start();
-    this->accept();
+    this->Accepting = false;
+    bool Cancelled = Failed == asio::error::operation_aborted;
+    if (!this->Listener.is_open() || (Failed && !Cancelled))
+      return;
+    if (!Failed) {
+      ++this->Accepted;
+      auto Each = std::make_shared<RawConnection>(std::move(New), this->Take);
+      this->Connections.insert(Each);
+      if (this->Paused)
+        Each->pause();
+      Each->start();
+    }
+    if (!this->Paused)
+      this->accept();
   });
 }
 
--- a/standins/common/rawserver.h
+++ b/standins/common/rawserver.h
@@ -9,6 +9,7 @@
 
 #include <asio/io_context.hpp>
 #include <cstdint>
+#include <memory>
 #include <set>
 
 namespace kingcuphub::standin {
@@ -22,6 +23,10 @@
   ~RawServer();
 
   std::uint16_t port() const;
+  /// Accepts and reads nothing until resume(), as a process that does not run:
+  /// the system still takes connections and bytes.
+  void pause();
+  void resume();
   /// Stops listening and ends every connection in order, as the kernel does for
   /// a process that ends.
   void end();
@@ -34,7 +39,10 @@
   asio::ip::tcp::acceptor Listener;
   RawConnection::Handler Take;
   std::set<std::shared_ptr<RawConnection>> Connections;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   unsigned Accepted = 0;
+  bool Paused = false;
+  bool Accepting = false;
 };
 
 } // namespace kingcuphub::standin
