A sender of late orders is silent only while somebody listens

Cause: a new holder counted the silence of the sender of a late order from the time at which it had read the sender's release, seconds before its own claim. Nobody reports while there is no holder, so that the engine's first report settled the order, and the holder ordered before it was read.

ASenderIsSilentOnlyWhileThis- InstanceListens fails before.

The bound on silence is 3 s, as a slow machine's report took longer than one.

--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -129,7 +129,7 @@
   this->Ledger.onClaim(Token, this->isLatestOwn());
   if (!this->Latest)
     return;
-  this->Ledger.inherit(this->Latest->Unsettled, this->ChangedAt);
+  this->Ledger.inherit(this->Latest->Unsettled, this->ChangedAt, Now);
   // The last record of a lapsed lease does not list what was sent after it.
   if (!this->Latest->Released && !this->isLatestOwn()) {
     this->UnsettledKnownAt = Now + this->Settings.ReportWait;
--- a/src/residency/internal/orderledger.cpp
+++ b/src/residency/internal/orderledger.cpp
@@ -58,11 +58,11 @@
 }
 
 void OrderLedger::inherit(const std::vector<UnsettledOrders> &Left,
-                          base::TimePoint Now) {
+                          base::TimePoint ReadAt, base::TimePoint Now) {
   for (const UnsettledOrders &Each : Left) {
     if (Each.Sender == this->Self)
       continue;
-    this->Others[Each.Engine][Each.Sender] = {Each.Lifetime, Now + Each.Left,
+    this->Others[Each.Engine][Each.Sender] = {Each.Lifetime, ReadAt + Each.Left,
                                               Now};
     // The other's order may arrive after one that was sent under this claim.
     if (auto Found = this->Own.find(Each.Engine); Found != this->Own.end())
@@ -77,7 +77,7 @@
     return;
   for (auto &[Engine, Senders] : this->Others)
     Senders.erase(Sender);
-  this->inherit(Current, Now);
+  this->inherit(Current, Now, Now);
 }
 
 bool OrderLedger::mayOrder(const base::TargetId &Engine,
--- a/src/residency/orderledger.h
+++ b/src/residency/orderledger.h
@@ -40,8 +40,9 @@
   std::chrono::milliseconds Drift{300};
   /// An order that was not answered may arrive up to this much later.
   std::chrono::milliseconds MaxOrderDelay = DefaultMaxOrderDelay;
-  /// A sender that was silent for this long may have ended.
-  std::chrono::milliseconds SilentAfter{1000};
+  /// A sender that was silent for this long may have ended. Longer than a busy
+  /// machine takes for a report.
+  std::chrono::milliseconds SilentAfter{3000};
 };
 
 class OrderLedger {
@@ -64,8 +65,10 @@
   void onEngineReport(const base::TargetId &Engine, base::TimePoint AskedAt,
                       base::TimePoint Now);
 
-  /// Takes over what an earlier holder has left.
-  void inherit(const std::vector<UnsettledOrders> &Left, base::TimePoint Now);
+  /// Takes over what an earlier holder has left, as read at \p ReadAt. The
+  /// senders report to this instance from \p Now on.
+  void inherit(const std::vector<UnsettledOrders> &Left, base::TimePoint ReadAt,
+               base::TimePoint Now);
   /// Handles that the process \p Sender has no other unsettled orders than
   /// \p Current.
   void replace(const OrderSender &Sender,
--- a/src/residency/tests/orderledgertest.cpp
+++ b/src/residency/tests/orderledgertest.cpp
@@ -73,7 +73,8 @@
 TEST_F(OrderLedgerTest,
        AnothersLateOrderHoldsAnEngineBackUntilItsSenderClearsIt) {
   this->Ledger.onClaim({1}, false);
-  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now);
+  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now,
+                       this->Now);
   EXPECT_FALSE(this->mayOrder());
   this->Ledger.replace(Self, {}, this->Now);
   EXPECT_FALSE(this->mayOrder());
@@ -83,7 +84,8 @@
 
 TEST_F(OrderLedgerTest, AnothersLateOrderHoldsAnEngineBackForABoundedTime) {
   this->Ledger.onClaim({1}, false);
-  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now);
+  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now,
+                       this->Now);
   this->Now += milliseconds(8999);
   EXPECT_FALSE(this->mayOrder());
   this->Now += milliseconds(1);
@@ -92,7 +94,8 @@
 
 TEST_F(OrderLedgerTest, ANewLifetimeOfAnEngineHasNoLateOrders) {
   this->Ledger.onClaim({1}, false);
-  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now);
+  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now,
+                       this->Now);
   EXPECT_TRUE(this->Ledger.mayOrder(Engine, {2}, this->Now));
 }
 
@@ -100,22 +103,35 @@
 /// read its connections in any order.
 TEST_F(OrderLedgerTest, AReportOfTheEngineSettlesTheOrdersOfASilentSenderOnly) {
   this->Ledger.onClaim({1}, false);
-  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now);
-  this->Ledger.onEngineReport(Engine, this->Now + milliseconds(999),
-                              this->Now + milliseconds(1005));
-  this->Now += milliseconds(1010);
+  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now,
+                       this->Now);
+  this->Ledger.onEngineReport(Engine, this->Now + milliseconds(2999),
+                              this->Now + milliseconds(3005));
+  this->Now += milliseconds(3010);
   EXPECT_FALSE(this->mayOrder());
   this->Ledger.onEngineReport(Engine, this->Now, this->Now + milliseconds(5));
   this->Now += milliseconds(5);
   EXPECT_TRUE(this->mayOrder());
 }
 
+/// Nobody reports while there is no holder.
+TEST_F(OrderLedgerTest, ASenderIsSilentOnlyWhileThisInstanceListens) {
+  this->Ledger.onClaim({1}, false);
+  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}},
+                       this->Now - milliseconds(3500), this->Now);
+  this->Now += milliseconds(10);
+  this->Ledger.onEngineReport(Engine, this->Now, this->Now);
+  EXPECT_FALSE(this->mayOrder());
+  this->Now += milliseconds(5490);
+  EXPECT_TRUE(this->mayOrder());
+}
+
 /// All processes of a machine are one holder.
 TEST_F(OrderLedgerTest, AnEarlierProcesssLateOrderCountsForTheTurn) {
   this->Ledger.onClaim({1}, false);
   OrderSender Earlier{Self.Instance, {1}};
   this->Ledger.inherit({{Earlier, Engine, Life, milliseconds(-1000)}},
-                       this->Now);
+                       this->Now, this->Now);
   EXPECT_FALSE(this->mayOrder());
   this->Now += milliseconds(2300);
   EXPECT_TRUE(this->mayOrder());
@@ -124,8 +140,9 @@
 /// The sender's next process would else order again within the turn.
 TEST_F(OrderLedgerTest, TheLateOrderOfAnEndedProcessIsPassedOnForATurn) {
   this->Ledger.onClaim({1}, false);
-  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now);
-  this->Now += milliseconds(2000);
+  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now,
+                       this->Now);
+  this->Now += milliseconds(4000);
   this->Ledger.onEngineReport(Engine, this->Now, this->Now);
   this->Now += milliseconds(500);
   this->Ledger.prune(this->Now);
@@ -133,7 +150,7 @@
   EXPECT_EQ(this->Ledger.all(this->Now)[0].Left, milliseconds(-500));
   OrderLedger Next({Other.Instance, {2}}, {});
   Next.onClaim({3}, false);
-  Next.inherit(this->Ledger.all(this->Now), this->Now);
+  Next.inherit(this->Ledger.all(this->Now), this->Now, this->Now);
   EXPECT_FALSE(Next.mayOrder(Engine, Life, this->Now + milliseconds(2799)));
   EXPECT_TRUE(Next.mayOrder(Engine, Life, this->Now + milliseconds(2800)));
 }
@@ -155,7 +172,8 @@
   this->Ledger.onClaim({1}, false);
   this->send();
   this->settle();
-  this->Ledger.inherit({{Other, Engine, Life, milliseconds(100)}}, this->Now);
+  this->Ledger.inherit({{Other, Engine, Life, milliseconds(100)}}, this->Now,
+                       this->Now);
   this->Ledger.prune(this->Now + milliseconds(3399));
   EXPECT_EQ(this->Ledger.all(this->Now).size(), 1U);
   this->Ledger.prune(this->Now + milliseconds(3400));
