A holder that gives up its lease says which engines may read its orders late

Cause: after a lapse the successor knows the last record only, and waits 300 ms for the reports of others. A slow machine that has lost the lease reports later, so that the successor ordered at an engine where its order was still unread.

AHolderThatGivesUpListsTheOrdersThatMayStillArrive is new.

Why it works: the announcement that ends a lapsed lease, which lets others claim it early, carries the list; it leaves before anyone claims.

--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -497,7 +497,8 @@
       return;
     this->HolderHeardAt = Reply.leaving() ? base::TimePoint{} : Now;
     if (Reply.leaving())
-      this->Lease.onGivenUp({Reply.token()}, Now);
+      this->Lease.onGivenUp({Reply.token()}, readUnsettled(Reply.unsettled()),
+                            Now);
     this->updateHolderState(Now);
     if (Reply.leaving())
       return;
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -343,8 +343,11 @@
 void HolderRole::announceGivenUpLease() {
   if (!this->Lost)
     return;
-  this->Lease.onGivenUp(this->Lost->Token, this->Clock.now());
+  base::TimePoint Now = this->Clock.now();
+  this->Lease.onGivenUp(this->Lost->Token, {}, Now);
   wire::HolderReply Message;
+  writeUnsettled(this->Lease.allUnsettledOrders(Now),
+                 *Message.mutable_unsettled());
   Message.set_token(this->Lost->Token.Value);
   this->Lost.reset();
   Message.set_leaving(true);
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -118,9 +118,11 @@
                         base::TimePoint Now);
   /// Handles that the lease with \p Token, and any older one, is over for good:
   /// this instance's lease has lapsed, or its holder has announced the end.
+  /// \p Left is what that holder knows of unsettled orders.
   /// Load pattern: the store is unreachable for the holder alone, while demand
   /// moves.
-  void onGivenUp(FencingToken Token, base::TimePoint Now);
+  void onGivenUp(FencingToken Token, const std::vector<UnsettledOrders> &Left,
+                 base::TimePoint Now);
   /// The remaining time of the lease, as the holder reports it to others.
   std::chrono::milliseconds timeLeft(base::TimePoint Now) const;
   LeaseLogEnd end() const { return this->End.value_or(LeaseLogEnd{}); }
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -143,7 +143,11 @@
   this->HolderExpiry = ReportedExpiry{ReportedEnd, Now + Left};
 }
 
-void HolderLease::onGivenUp(FencingToken Token, base::TimePoint Now) {
+void HolderLease::onGivenUp(FencingToken Token,
+                            const std::vector<UnsettledOrders> &Left,
+                            base::TimePoint Now) {
+  this->Ledger.prune(Now);
+  this->Ledger.inherit(Left, Now, Now);
   if (this->GivenUp && Token <= this->GivenUp->Token)
     return;
   this->GivenUp = GivenUpLease{Token, Now};
--- a/src/residency/tests/holderleasetest.cpp
+++ b/src/residency/tests/holderleasetest.cpp
@@ -82,7 +82,7 @@
         continue;
       for (std::size_t Other = 0; Other < Instances; ++Other)
         if (Other == Index || (!this->Frozen[Other] && this->draw(3) != 0))
-          this->Leases[Other].onGivenUp(*Before, this->Now);
+          this->Leases[Other].onGivenUp(*Before, {}, this->Now);
     }
   }
 
@@ -244,7 +244,7 @@
   Record.Token.Value = 4;
   Lease.onReportedExpiry({5}, milliseconds(1000), Now);
   Now += milliseconds(1500);
-  Lease.onGivenUp({4}, Now);
+  Lease.onGivenUp({4}, {}, Now);
   Lease.onRead(Record, {6}, Now + milliseconds(20));
   EXPECT_FALSE(Lease.tick(1, Now + milliseconds(200)));
   EXPECT_TRUE(Lease.tick(1, Now + milliseconds(900)));
@@ -256,7 +256,7 @@
   Lease.onRead(std::nullopt, {0}, Now);
   Now += std::chrono::seconds(1);
   auto Sent = Lease.tick(1, Now);
-  Lease.onGivenUp(Sent->Record.Token, Now);
+  Lease.onGivenUp(Sent->Record.Token, {}, Now);
   Lease.onAppended(*Sent, Now);
   EXPECT_FALSE(Lease.held(Now));
   Now += std::chrono::seconds(1);
@@ -457,6 +457,21 @@
   EXPECT_TRUE(Lease.tick(1, Now + milliseconds(300)));
 }
 
+/// It says so before anyone claims the lease.
+TEST(HolderLeaseTest, AHolderThatGivesUpListsTheOrdersThatMayStillArrive) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  LeaseRecord Lapsed = releasedBy("a", {7});
+  Lapsed.Released = false;
+  HolderLease Lease({"b"}, {1}, "b", {}, 1);
+  Lease.onRead(Lapsed, {7}, Now);
+  Lease.onGivenUp({7}, {{{{"a"}, {1}}, Engine, Life, milliseconds(9000)}}, Now);
+  Now += milliseconds(900);
+  Lease.onAppended(*Lease.tick(1, Now), Now);
+  Now += milliseconds(300);
+  EXPECT_FALSE(Lease.orderToken(Engine, Life, Now));
+  EXPECT_TRUE(Lease.orderToken(OtherEngine, Life, Now));
+}
+
 /// The process before it may have sent orders that nobody can list.
 TEST(HolderLeaseTest, AProcessThatHasJustStartedDoesNotReleaseTheLease) {
   base::TimePoint Now{std::chrono::hours(1)};
--- a/src/residency/tests/holderturnstest.cpp
+++ b/src/residency/tests/holderturnstest.cpp
@@ -376,7 +376,9 @@
     for (std::size_t Other = 0; Other < this->Machines.size(); ++Other)
       if (Other == Index ||
           (this->runs(this->Machines[Other]) && this->draw(4) != 0))
-        this->Machines[Other].Lease->onGivenUp(Token, this->Now);
+        this->Machines[Other].Lease->onGivenUp(
+            Token, this->Machines[Index].Lease->allUnsettledOrders(this->Now),
+            this->Now);
   }
 
   void sendOrders(std::size_t Index) {
