--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -83,8 +83,8 @@
   /// Must be set. Called once: with the answer, or with an Unknown outcome when
   /// it is no longer waited for.
   std::function<void(OrderOutcome)> OnOutcome;
-  /// Must be set. Called once, at OnOutcome or later, when the order can no
-  /// longer arrive; with the engine's late answer, if it gave one.
+  /// Must be set. Called once, right before OnOutcome or later, when the
+  /// connection has ended; with the engine's late answer, if it gave one.
   std::function<void(OrderOutcome)> OnSettled;
 };
 
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -511,7 +511,10 @@
 void HolderRole::onOrderSettled(const residency::Order &What,
                                 OrderOutcome Outcome, base::TimePoint SentAt) {
   base::TimePoint Now = this->Clock.now();
-  this->Lease.onOrderSettled(What.Target, Now);
+  if (Outcome.End == residency::OrderEnd::Cut)
+    this->Lease.onOrderCut(What.Target, Now);
+  else
+    this->Lease.onOrderSettled(What.Target, Now);
   if (Now < SentAt + this->Settings.Lease.OrderTransit)
     return;
   this->logOrder("order-settled", What, Outcome, SentAt);
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -169,6 +169,11 @@
                    base::TimePoint Now);
   void onOrderEnded(const base::TargetId &Engine);
   void onOrderSettled(const base::TargetId &Engine, base::TimePoint Now);
+  /// Must be called in place of onOrderSettled() if the order's connection
+  /// broke without an answer.
+  void onOrderCut(const base::TargetId &Engine, base::TimePoint Now) {
+    this->Ledger.onCut(Engine, Now);
+  }
   bool hasOrdersUnderWay() const { return this->OrdersUnderWay > 0; }
   /// This process's orders that may still arrive; other instances report them
   /// to the holder.
@@ -270,8 +275,10 @@
   std::optional<base::TimePoint> LastOrderAt;
   std::size_t OrdersUnderWay = 0;
   OrderLedger Ledger;
-  /// When all unsettled orders of earlier holders are known.
-  base::TimePoint UnsettledKnownAt;
+  /// The latest claim followed a lapsed lease and is not confirmed yet.
+  bool FollowsLapse = false;
+  /// When the others have reported their unsettled orders.
+  base::TimePoint ReportsDueAt;
   /// When this instance may order under its latest claim.
   base::TimePoint OrderFrom;
   bool Yielding = false;
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -82,6 +82,10 @@
     this->Fenced = false;
     return;
   }
+  if (std::exchange(this->FollowsLapse, false)) {
+    this->ReportsDueAt = Now + this->Settings.ReportWait;
+    this->OrderFrom = std::max(this->OrderFrom, this->ReportsDueAt);
+  }
   auto Own = std::find_if(
       this->Pending.begin(), this->Pending.end(),
       [&](const Sent &Each) { return Each.Number == Record->Number; });
@@ -131,10 +135,7 @@
     return;
   this->Ledger.inherit(this->Latest->Unsettled, this->ChangedAt, Now);
   // The last record of a lapsed lease does not list what was sent after it.
-  if (!this->Latest->Released && !this->isLatestOwn()) {
-    this->UnsettledKnownAt = Now + this->Settings.ReportWait;
-    this->OrderFrom = std::max(this->OrderFrom, this->UnsettledKnownAt);
-  }
+  this->FollowsLapse = !this->Latest->Released && !this->isLatestOwn();
 }
 
 void HolderLease::onReportedExpiry(LeaseLogEnd ReportedEnd,
@@ -292,7 +293,7 @@
                        Now < *this->PendingSince + this->Settings.AppendTimeout;
   // The record lists no orders that are in transit.
   bool InTransit = this->hasOrdersUnderWay() || Now < this->transitEnd() ||
-                   Now < this->UnsettledKnownAt;
+                   Now < this->ReportsDueAt;
   if (!this->End || AppendPending || InTransit)
     return std::nullopt;
   this->Yielding = false;
--- a/src/residency/internal/orderledger.cpp
+++ b/src/residency/internal/orderledger.cpp
@@ -47,8 +47,25 @@
   Found->second.LastSettledAt = Now;
 }
 
+void OrderLedger::onCut(const base::TargetId &Engine, base::TimePoint Now) {
+  auto Found = this->Own.find(Engine);
+  if (Found == this->Own.end() || Found->second.Cut == Found->second.Unsettled)
+    return;
+  ++Found->second.Cut;
+  Found->second.CutAt = Now;
+}
+
+void OrderLedger::settleCut(OwnOrders &Entry, base::TimePoint At) {
+  Entry.Unsettled -= std::exchange(Entry.Cut, 0);
+  Entry.LastSettledAt = std::max(Entry.LastSettledAt, At);
+}
+
 void OrderLedger::onEngineReport(const base::TargetId &Engine,
                                  base::TimePoint AskedAt, base::TimePoint Now) {
+  if (auto Found = this->Own.find(Engine); Found != this->Own.end() &&
+                                           Found->second.Cut > 0 &&
+                                           AskedAt >= Found->second.CutAt)
+    settleCut(Found->second, Now);
   auto Found = this->Others.find(Engine);
   if (Found == this->Others.end())
     return;
@@ -62,10 +79,13 @@
   for (const UnsettledOrders &Each : Left) {
     if (Each.Sender == this->Self)
       continue;
-    this->Others[Each.Engine][Each.Sender] = {Each.Lifetime, ReadAt + Each.Left,
-                                              Now};
-    // The other's order may arrive after one that was sent under this claim.
-    if (auto Found = this->Own.find(Each.Engine); Found != this->Own.end())
+    OtherOrders &Entry = this->Others[Each.Engine][Each.Sender];
+    Entry.Lifetime = std::max(Entry.Lifetime, Each.Lifetime);
+    Entry.Until = std::max(Entry.Until, ReadAt + Each.Left);
+    Entry.HeardAt = Now;
+    // It may arrive after an order that was sent under this claim.
+    auto Found = this->Own.find(Each.Engine);
+    if (Now < Entry.Until && Found != this->Own.end())
       Found->second.Token = {};
   }
 }
@@ -75,8 +95,14 @@
                           base::TimePoint Now) {
   if (Sender == this->Self)
     return;
-  for (auto &[Engine, Senders] : this->Others)
+  for (auto &[Engine, Senders] : this->Others) {
     Senders.erase(Sender);
+    // The sender's earlier processes have ended.
+    for (auto &[Other, Each] : Senders)
+      if (Other.Instance == Sender.Instance &&
+          Other.Incarnation < Sender.Incarnation)
+        Each.HeardAt = {};
+  }
   this->inherit(Current, Now, Now);
 }
 
@@ -100,7 +126,7 @@
                                     ? this->turnAfter(Orders.Until)
                                     : Orders.Until;
         // A new lifetime has none of the connections of the one before.
-        return Orders.Lifetime != Lifetime || Now >= Until;
+        return Orders.Lifetime < Lifetime || Now >= Until;
       });
 }
 
@@ -116,6 +142,12 @@
 
 std::vector<UnsettledOrders> OrderLedger::all(base::TimePoint Now) const {
   std::vector<UnsettledOrders> Out = this->own(Now);
+  // The next process of this machine owes the same turns.
+  for (const auto &[Engine, Each] : this->Own)
+    if (Each.Unsettled == 0 && Each.Token != this->Claim &&
+        Now < this->turnAfter(Each.LastSettledAt))
+      Out.push_back({this->Self, Engine, Each.Lifetime,
+                     timeUntil(Each.LastSettledAt, Now)});
   for (const auto &[Engine, Senders] : this->Others)
     for (const auto &[Sender, Each] : Senders)
       Out.push_back(
@@ -124,6 +156,10 @@
 }
 
 void OrderLedger::prune(base::TimePoint Now) {
+  for (auto &[Engine, Each] : this->Own)
+    if (base::TimePoint Bound = Each.LastSentAt + this->Settings.MaxOrderDelay;
+        Each.Cut > 0 && Now >= Bound)
+      settleCut(Each, Bound);
   std::erase_if(this->Own, [&](const auto &Each) {
     const OwnOrders &Entry = Each.second;
     return Entry.Unsettled == 0 && Now >= this->turnAfter(Entry.LastSettledAt);
--- a/src/residency/orderledger.h
+++ b/src/residency/orderledger.h
@@ -3,8 +3,11 @@
 
 /// \file
 /// Which engines may not have read all orders that were sent to them. An order
-/// is settled once it can no longer arrive: the engine has answered it or
-/// dropped its connection, or MaxOrderDelay has passed. No I/O and no clock.
+/// ends when its sender has the answer or gives it up. It is settled once it
+/// can no longer arrive: with the answer, with a report that the engine was
+/// asked for after the connection broke, or when MaxOrderDelay has passed. A
+/// turn is the minimum time between orders of one machine to one engine with
+/// orders of another machine in between. No I/O and no clock.
 
 #include "residency/types.h"
 
@@ -59,9 +62,13 @@
               base::TimePoint Now);
   void onEnded(const base::TargetId &Engine);
   void onSettled(const base::TargetId &Engine, base::TimePoint Now);
-  /// Handles a report of the engine that was requested at \p AskedAt. The
-  /// orders of a sender that has ended are settled then, as nobody else can
-  /// tell: an engine reads what came before the request.
+  /// Handles that the connection of an order broke without an answer, which
+  /// takes nothing back that waits at the engine.
+  void onCut(const base::TargetId &Engine, base::TimePoint Now);
+  /// Handles a report of the engine that was requested at \p AskedAt. Orders
+  /// of which nobody else can tell are settled then, as an engine reads what
+  /// came before the request: those whose connection broke, or whose sender has
+  /// ended.
   void onEngineReport(const base::TargetId &Engine, base::TimePoint AskedAt,
                       base::TimePoint Now);
 
@@ -93,11 +100,15 @@
 private:
   /// This process's orders to one engine.
   struct OwnOrders {
-    /// The claim under which the latest was sent.
+    /// The claim under which the latest was sent; none if another holder may
+    /// have ordered since.
     FencingToken Token;
     catalog::Lifetime Lifetime;
     unsigned Unsettled = 0;
     unsigned UnderWay = 0;
+    /// Unsettled ones whose connection broke, the latest at CutAt.
+    unsigned Cut = 0;
+    base::TimePoint CutAt;
     base::TimePoint LastSentAt;
     base::TimePoint LastSettledAt;
   };
@@ -108,6 +119,8 @@
     base::TimePoint HeardAt;
   };
 
+  static void settleCut(OwnOrders &Entry, base::TimePoint At);
+
   /// When this machine may order again at an engine where its last order was
   /// settled at \p SettledAt.
   base::TimePoint turnAfter(base::TimePoint SettledAt) const {
--- a/src/residency/tests/holderleasetest.cpp
+++ b/src/residency/tests/holderleasetest.cpp
@@ -451,7 +451,11 @@
   HolderLease Lease({"b"}, {1}, "b", {}, 1);
   Lease.onRead(Lapsed, {7}, Now);
   Now += milliseconds(3900);
-  Lease.onAppended(*Lease.tick(1, Now), Now);
+  auto Claim = Lease.tick(1, Now);
+  ASSERT_TRUE(Claim);
+  // The others report from when they have read the claim.
+  Now += milliseconds(600);
+  Lease.onAppended(*Claim, Now);
   EXPECT_FALSE(Lease.orderToken(Now + milliseconds(299)));
   EXPECT_FALSE(Lease.yield(Now + milliseconds(299)));
   EXPECT_TRUE(Lease.tick(1, Now + milliseconds(300)));
@@ -462,16 +466,39 @@
   base::TimePoint Now{std::chrono::hours(1)};
   LeaseRecord Lapsed = releasedBy("a", {7});
   Lapsed.Released = false;
+  // The record lists an earlier order, which is settled by now.
+  Lapsed.Unsettled = {{{{"a"}, {1}}, Engine, Life, milliseconds(1000)}};
   HolderLease Lease({"b"}, {1}, "b", {}, 1);
   Lease.onRead(Lapsed, {7}, Now);
   Lease.onGivenUp({7}, {{{{"a"}, {1}}, Engine, Life, milliseconds(9000)}}, Now);
   Now += milliseconds(900);
   Lease.onAppended(*Lease.tick(1, Now), Now);
-  Now += milliseconds(300);
+  Now += milliseconds(500);
   EXPECT_FALSE(Lease.orderToken(Engine, Life, Now));
   EXPECT_TRUE(Lease.orderToken(OtherEngine, Life, Now));
 }
 
+/// It learns of them from the record of the process before it.
+TEST(HolderLeaseTest, AProcessOwesTheTurnsOfTheOneBeforeIt) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLease Earlier = makeHolder("a", Now);
+  order(Earlier, Now);
+  Earlier.onRead(releasedBy("b", {7}), {7}, Now + milliseconds(600));
+  Now += milliseconds(1200);
+  auto Claim = Earlier.tick(1, Now);
+  ASSERT_TRUE(Claim);
+  Now += milliseconds(200);
+  HolderLease Lease({"a"}, {2}, "a", {}, 1, Now);
+  Lease.onRead(Claim->Record, {8}, Now);
+  Lease.onAppended(*Lease.tick(1, Now), Now);
+  Now += milliseconds(700);
+  EXPECT_TRUE(Lease.orderToken(OtherEngine, Life, Now));
+  EXPECT_FALSE(Lease.orderToken(Engine, Life, Now));
+  EXPECT_FALSE(Lease.orderToken(Engine, Life, Now + milliseconds(1199)));
+  // The age in the record counts from when it was read.
+  EXPECT_TRUE(Lease.orderToken(Engine, Life, Now + milliseconds(1400)));
+}
+
 /// The process before it may have sent orders that nobody can list.
 TEST(HolderLeaseTest, AProcessThatHasJustStartedDoesNotReleaseTheLease) {
   base::TimePoint Now{std::chrono::hours(1)};
--- a/src/residency/tests/holderturnstest.cpp
+++ b/src/residency/tests/holderturnstest.cpp
@@ -62,7 +62,7 @@
   std::uint64_t Incarnation = 0;
   FencingToken Token;
   base::TimePoint SentAt;
-  /// When the engine's machine has it: a reset does not take it back then.
+  /// When the engine's machine has it.
   base::TimePoint ReceivedAt;
   /// When the engine reads it, unless the engine is late.
   base::TimePoint ArrivesAt;
@@ -340,20 +340,11 @@
 
   void abandonOrders(std::size_t Index) {
     Machine &Of = this->Machines[Index];
-    auto IsOwn = [&](const Order &Each) {
-      return Each.Holder == Index && Each.Incarnation == Of.Incarnation;
-    };
     for (Order &Each : this->Orders) {
-      if (!IsOwn(Each))
-        continue;
-      if (!std::exchange(Each.GivenUp, true))
+      bool IsOwn = Each.Holder == Index && Each.Incarnation == Of.Incarnation;
+      if (IsOwn && !std::exchange(Each.GivenUp, true))
         Of.Lease->onOrderEnded(engineId(Each.Engine));
-      if (this->Now < Each.ReceivedAt)
-        Of.Lease->onOrderSettled(engineId(Each.Engine), this->Now);
     }
-    std::erase_if(this->Orders, [&](const Order &Each) {
-      return IsOwn(Each) && this->Now < Each.ReceivedAt;
-    });
   }
 
   /// An engine that is not late answers the new holder's request for a report.
--- a/src/residency/tests/orderledgertest.cpp
+++ b/src/residency/tests/orderledgertest.cpp
@@ -168,6 +168,65 @@
   EXPECT_TRUE(this->mayOrder());
 }
 
+/// What a broken connection has carried may wait at the engine.
+TEST_F(OrderLedgerTest, AnOrderWhoseConnectionBrokeIsSettledByALaterReport) {
+  this->Ledger.onClaim({1}, false);
+  this->send();
+  this->Ledger.onEnded(Engine);
+  this->Ledger.onCut(Engine, this->Now);
+  this->Ledger.onEngineReport(Engine, this->Now - milliseconds(1), this->Now);
+  EXPECT_EQ(this->Ledger.own(this->Now).size(), 1U);
+  this->Ledger.onEngineReport(Engine, this->Now, this->Now + milliseconds(5));
+  EXPECT_TRUE(this->Ledger.own(this->Now).empty());
+  this->Ledger.onClaim({5}, false);
+  this->Now += milliseconds(3304);
+  EXPECT_FALSE(this->mayOrder());
+  this->Now += milliseconds(1);
+  EXPECT_TRUE(this->mayOrder());
+}
+
+TEST_F(OrderLedgerTest, AnOrderWhoseConnectionBrokeIsSettledAfterABoundedTime) {
+  this->Ledger.onClaim({1}, false);
+  this->send();
+  this->Ledger.onEnded(Engine);
+  this->Ledger.onCut(Engine, this->Now);
+  this->Ledger.prune(this->Now + milliseconds(12999));
+  EXPECT_EQ(this->Ledger.own(this->Now).size(), 1U);
+  this->Ledger.prune(this->Now + milliseconds(13000));
+  EXPECT_TRUE(this->Ledger.own(this->Now).empty());
+}
+
+/// A record is older than what its holder has said since.
+TEST_F(OrderLedgerTest, AnOlderListShortensNothing) {
+  this->Ledger.onClaim({1}, false);
+  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now,
+                       this->Now);
+  this->Ledger.inherit({{Other, Engine, Life, milliseconds(1000)}}, this->Now,
+                       this->Now);
+  this->Now += milliseconds(1000);
+  EXPECT_FALSE(this->mayOrder());
+}
+
+TEST_F(OrderLedgerTest, TheNextProcessOfASenderShowsThatItHasEnded) {
+  this->Ledger.onClaim({1}, false);
+  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now,
+                       this->Now);
+  this->Ledger.replace({Other.Instance, {2}}, {}, this->Now);
+  EXPECT_FALSE(this->mayOrder());
+  this->Ledger.onEngineReport(Engine, this->Now, this->Now);
+  EXPECT_TRUE(this->mayOrder());
+}
+
+/// Orders that are settled hold nobody back who keeps the lease.
+TEST_F(OrderLedgerTest, SettledOrdersOfOthersStartNoTurn) {
+  this->Ledger.onClaim({1}, false);
+  this->send();
+  this->settle();
+  this->Ledger.inherit({{Other, Engine, Life, milliseconds(-100)}}, this->Now,
+                       this->Now);
+  EXPECT_TRUE(this->mayOrder());
+}
+
 TEST_F(OrderLedgerTest, WhatIsOverIsDropped) {
   this->Ledger.onClaim({1}, false);
   this->send();
