A broken connection or the end of a sender settles no order

Callers see engines that are given contradictory orders.

Cause: an order counted as settled with the next report of its engine once its connection had broken, and once its sender had been silent for 3 s or had ended, "as an engine reads what came before the request". The platform's pages say that an order without response may be carried out seconds later, after newer orders, and name no report that would tell.

Evidence: HolderTurnsTest with orders whose connections break at once (one in 400) and that are carried out 2 to 12 s later while the engine answers reports.

Why it works: such an order stays unsettled for the longest time that an order may be late, whoever reports meanwhile; no other machine orders at the engine until then. A holder lists it in a record of the lease at once, as a process that is killed can't do so afterwards. The time counts from when the connection broke, and not from the newest order to the engine.

Two tests of OrderLedgerTest asserted the untrue belief (AReportOfTheEngineSettlesTheOrdersOfASilentSenderOnly, AnOrderWhoseConnectionBrokeIsSettledByALaterReport) and a third went by the silence (ASenderIsSilentOnlyWhileThisInstanceListens). They are replaced by TheNextProcessOfASenderSettlesNothing, OrdersAfterABrokenConnectionDoNotDelayItsEnd and a longer AnOrderWhoseConnectionBrokeIsSettledAfterABoundedTime, which demand that the engine is held back for the whole time.

--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -417,15 +417,12 @@
   if (Target == nullptr)
     return;
   this->Engines.report(
-      *Target, [this, Live = this->Alive, Id = Command.Target,
-                AskedAt = this->Clock.now()](
+      *Target, [this, Live = this->Alive, Id = Command.Target](
                    const std::optional<residency::EngineReport> &Report) {
         if (!*Live)
           return;
         base::TimePoint Now = this->Clock.now();
-        if (Report)
-          this->Lease.onEngineReport(Id, AskedAt, Now);
-        else
+        if (!Report)
           base::logEvent(base::LogLevel::Warn, "engine-silent",
                          {{"target", Id.Value}});
         this->Holder.onReport(Id, Report, Now);
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -171,9 +171,7 @@
   void onOrderSettled(const base::TargetId &Engine, base::TimePoint Now);
   /// Must be called in place of onOrderSettled() if the order's connection
   /// broke without an answer.
-  void onOrderCut(const base::TargetId &Engine, base::TimePoint Now) {
-    this->Ledger.onCut(Engine, Now);
-  }
+  void onOrderCut(const base::TargetId &Engine, base::TimePoint Now);
   bool hasOrdersUnderWay() const { return this->OrdersUnderWay > 0; }
   /// This process's orders that may still arrive; other instances report them
   /// to the holder.
@@ -189,11 +187,6 @@
   void onUnsettledOrders(const OrderSender &Sender,
                          const std::vector<UnsettledOrders> &Current,
                          base::TimePoint Now);
-  /// Handles a report of an engine that was requested at \p AskedAt.
-  void onEngineReport(const base::TargetId &Engine, base::TimePoint AskedAt,
-                      base::TimePoint Now) {
-    this->Ledger.onEngineReport(Engine, AskedAt, Now);
-  }
   /// When this instance's latest order was settled, if any was.
   const std::optional<base::TimePoint> &lastOrder() const {
     return this->LastOrderAt;
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -222,6 +222,13 @@
   this->Ledger.onSettled(Engine, Now);
 }
 
+void HolderLease::onOrderCut(const base::TargetId &Engine,
+                             base::TimePoint Now) {
+  this->Ledger.onCut(Engine, Now);
+  // A process that is killed can't list the order afterwards.
+  this->StateAppended = false;
+}
+
 void HolderLease::onUnsettledOrders(const OrderSender &Sender,
                                     const std::vector<UnsettledOrders> &Current,
                                     base::TimePoint Now) {
--- a/src/residency/internal/orderledger.cpp
+++ b/src/residency/internal/orderledger.cpp
@@ -55,23 +55,10 @@
   Found->second.CutAt = Now;
 }
 
-void OrderLedger::settleCut(OwnOrders &Entry, base::TimePoint At) {
-  Entry.Unsettled -= std::exchange(Entry.Cut, 0);
-  Entry.LastSettledAt = std::max(Entry.LastSettledAt, At);
-}
-
-void OrderLedger::onEngineReport(const base::TargetId &Engine,
-                                 base::TimePoint AskedAt, base::TimePoint Now) {
-  if (auto Found = this->Own.find(Engine); Found != this->Own.end() &&
-                                           Found->second.Cut > 0 &&
-                                           AskedAt >= Found->second.CutAt)
-    settleCut(Found->second, Now);
-  auto Found = this->Others.find(Engine);
-  if (Found == this->Others.end())
-    return;
-  for (auto &[Sender, Each] : Found->second)
-    if (AskedAt >= Each.HeardAt + this->Settings.SilentAfter)
-      Each.Until = std::min(Each.Until, Now);
+base::TimePoint OrderLedger::settledBy(const OwnOrders &Entry) const {
+  bool AllCut = Entry.Unsettled - Entry.UnderWay <= Entry.Cut;
+  return (AllCut ? Entry.CutAt : Entry.LastSentAt) +
+         this->Settings.MaxOrderDelay;
 }
 
 void OrderLedger::inherit(const std::vector<UnsettledOrders> &Left,
@@ -82,7 +69,6 @@
     OtherOrders &Entry = this->Others[Each.Engine][Each.Sender];
     Entry.Lifetime = std::max(Entry.Lifetime, Each.Lifetime);
     Entry.Until = std::max(Entry.Until, ReadAt + Each.Left);
-    Entry.HeardAt = Now;
     // It may arrive after an order that was sent under this claim.
     auto Found = this->Own.find(Each.Engine);
     if (Now < Entry.Until && Found != this->Own.end())
@@ -95,14 +81,8 @@
                           base::TimePoint Now) {
   if (Sender == this->Self)
     return;
-  for (auto &[Engine, Senders] : this->Others) {
+  for (auto &[Engine, Senders] : this->Others)
     Senders.erase(Sender);
-    // The sender's earlier processes have ended.
-    for (auto &[Other, Each] : Senders)
-      if (Other.Instance == Sender.Instance &&
-          Other.Incarnation < Sender.Incarnation)
-        Each.HeardAt = {};
-  }
   this->inherit(Current, Now, Now);
 }
 
@@ -134,9 +114,8 @@
   std::vector<UnsettledOrders> Out;
   for (const auto &[Engine, Each] : this->Own)
     if (Each.Unsettled > Each.UnderWay)
-      Out.push_back(
-          {this->Self, Engine, Each.Lifetime,
-           timeUntil(Each.LastSentAt + this->Settings.MaxOrderDelay, Now)});
+      Out.push_back({this->Self, Engine, Each.Lifetime,
+                     timeUntil(this->settledBy(Each), Now)});
   return Out;
 }
 
@@ -156,10 +135,13 @@
 }
 
 void OrderLedger::prune(base::TimePoint Now) {
-  for (auto &[Engine, Each] : this->Own)
-    if (base::TimePoint Bound = Each.LastSentAt + this->Settings.MaxOrderDelay;
-        Each.Cut > 0 && Now >= Bound)
-      settleCut(Each, Bound);
+  for (auto &[Engine, Each] : this->Own) {
+    base::TimePoint Bound = Each.CutAt + this->Settings.MaxOrderDelay;
+    if (Each.Cut == 0 || Now < Bound)
+      continue;
+    Each.Unsettled -= std::exchange(Each.Cut, 0);
+    Each.LastSettledAt = std::max(Each.LastSettledAt, Bound);
+  }
   std::erase_if(this->Own, [&](const auto &Each) {
     const OwnOrders &Entry = Each.second;
     return Entry.Unsettled == 0 && Now >= this->turnAfter(Entry.LastSettledAt);
--- a/src/residency/orderledger.h
+++ b/src/residency/orderledger.h
@@ -4,10 +4,11 @@
 /// \file
 /// Which engines may not have read all orders that were sent to them. An order
 /// ends when its sender has the answer or gives it up. It is settled once it
-/// can no longer arrive: with the answer, with a report that the engine was
-/// asked for after the connection broke, or when MaxOrderDelay has passed. A
-/// turn is the minimum time between orders of one machine to one engine with
-/// orders of another machine in between. No I/O and no clock.
+/// can no longer arrive: with the answer, or when MaxOrderDelay has passed. An
+/// engine may carry an order out after its connection has broken, its sender
+/// has ended, and reports that were requested later have been answered. A turn
+/// is the minimum time between orders of one machine to one engine with orders
+/// of another machine in between. No I/O and no clock.
 
 #include "residency/types.h"
 
@@ -43,9 +44,6 @@
   std::chrono::milliseconds Drift{300};
   /// An order that was not answered may arrive up to this much later.
   std::chrono::milliseconds MaxOrderDelay = DefaultMaxOrderDelay;
-  /// A sender that was silent for this long may have ended. Longer than a busy
-  /// machine takes for a report.
-  std::chrono::milliseconds SilentAfter{3000};
 };
 
 class OrderLedger {
@@ -62,18 +60,11 @@
               base::TimePoint Now);
   void onEnded(const base::TargetId &Engine);
   void onSettled(const base::TargetId &Engine, base::TimePoint Now);
-  /// Handles that the connection of an order broke without an answer, which
-  /// takes nothing back that waits at the engine.
+  /// Handles that the connection of an order broke without an answer. prune()
+  /// settles the order.
   void onCut(const base::TargetId &Engine, base::TimePoint Now);
-  /// Handles a report of the engine that was requested at \p AskedAt. Orders
-  /// of which nobody else can tell are settled then, as an engine reads what
-  /// came before the request: those whose connection broke, or whose sender has
-  /// ended.
-  void onEngineReport(const base::TargetId &Engine, base::TimePoint AskedAt,
-                      base::TimePoint Now);
-
-  /// Takes over what an earlier holder has left, as read at \p ReadAt. The
-  /// senders report to this instance from \p Now on.
+
+  /// Takes over what an earlier holder has left, as read at \p ReadAt.
   void inherit(const std::vector<UnsettledOrders> &Left, base::TimePoint ReadAt,
                base::TimePoint Now);
   /// Handles that the process \p Sender has no other unsettled orders than
@@ -115,12 +106,10 @@
   struct OtherOrders {
     catalog::Lifetime Lifetime;
     base::TimePoint Until;
-    /// When the sender, or a holder on its behalf, last told of them.
-    base::TimePoint HeardAt;
   };
 
-  static void settleCut(OwnOrders &Entry, base::TimePoint At);
-
+  /// When orders that this process has given up count as settled.
+  base::TimePoint settledBy(const OwnOrders &Entry) const;
   /// When this machine may order again at an engine where its last order was
   /// settled at \p SettledAt.
   base::TimePoint turnAfter(base::TimePoint SettledAt) const {
--- a/src/residency/tests/holderturnstest.cpp
+++ b/src/residency/tests/holderturnstest.cpp
@@ -30,6 +30,8 @@
 /// Of instances to the holder.
 constexpr milliseconds ReportInterval{250};
 constexpr std::size_t EngineCount = 3;
+/// One order in this many has its connection broken.
+constexpr std::uint64_t CutOrderOneIn = 400;
 constexpr catalog::Lifetime EngineLifetime{1};
 
 struct Disturbances {
@@ -54,6 +56,9 @@
   /// The holder is killed, starts again at once, and is stopped by a signal as
   /// soon as it holds the lease again.
   bool RestartsAndStops = false;
+  /// The connections of some orders break at once; the engine carries the
+  /// orders out seconds later and answers reports meanwhile.
+  bool CutOrders = false;
 };
 
 struct Order {
@@ -68,6 +73,8 @@
   base::TimePoint ArrivesAt;
   /// The sender no longer waits for the answer.
   bool GivenUp = false;
+  /// The sender never learns that the order was carried out.
+  bool Cut = false;
 };
 
 /// What the platform judges: the orders of one engine, as they arrive.
@@ -179,6 +186,8 @@
     /// those that can no longer arrive.
     std::vector<std::size_t> EndedAt;
     std::vector<std::size_t> SettledAt;
+    /// The engines of orders whose connection broke.
+    std::vector<std::size_t> CutAt;
     /// Engines that have reported since the instance holds the lease.
     std::set<std::size_t> Reported;
     /// When something was done to the machine.
@@ -206,6 +215,7 @@
         this->Random(), std::max(this->Now, Of.DownUntil));
     Of.EndedAt.clear();
     Of.SettledAt.clear();
+    Of.CutAt.clear();
     Of.Held.reset();
     Of.Lost.reset();
     Of.EndsAt.reset();
@@ -249,6 +259,10 @@
       Of.Lease->onOrderEnded(engineId(Engine));
     for (std::size_t Engine : std::exchange(Of.SettledAt, {}))
       Of.Lease->onOrderSettled(engineId(Engine), this->Now);
+    for (std::size_t Engine : std::exchange(Of.CutAt, {})) {
+      Of.Lease->onOrderCut(engineId(Engine), this->Now);
+      Of.Lease->onOrderEnded(engineId(Engine));
+    }
     bool Reachable = this->Now >= Of.StoreCutUntil;
     if (Reachable && (Of.Lease->needsRead() || this->draw(3) == 0))
       Of.Lease->onRead(this->Record, {this->End}, this->Now);
@@ -352,7 +366,6 @@
     for (std::size_t Engine = 0; Engine < EngineCount; ++Engine)
       if (this->Now >= this->LateUntil[Engine]) {
         Of.Reported.insert(Engine);
-        Of.Lease->onEngineReport(engineId(Engine), this->Now, this->Now);
       }
   }
 
@@ -389,9 +402,14 @@
                  (Slow ? MaxOrderTransit : TypicalOrderTransit).count()));
       bool Late = this->What.LateOrders && this->draw(15) == 0;
       milliseconds Unread = Late ? this->between(700, 3200) : milliseconds(0);
+      bool Cut = this->What.CutOrders && this->draw(CutOrderOneIn) == 0;
+      if (Cut) {
+        Unread = this->between(2000, 12000);
+        Of.CutAt.push_back(Engine);
+      }
       this->Orders.push_back({Engine, Index, Of.Incarnation, *Token, this->Now,
-                              this->Now + Transit,
-                              this->Now + Transit + Unread});
+                              this->Now + Transit, this->Now + Transit + Unread,
+                              Cut, Cut});
       Of.Lease->onOrderSent(engineId(Engine), EngineLifetime, this->Now);
     }
   }
@@ -424,7 +442,7 @@
               });
     for (const Order &Each : Arriving) {
       Machine &Sender = this->Machines[Each.Holder];
-      if (Each.Incarnation == Sender.Incarnation) {
+      if (Each.Incarnation == Sender.Incarnation && !Each.Cut) {
         if (!Each.GivenUp)
           Sender.EndedAt.push_back(Each.Engine);
         Sender.SettledAt.push_back(Each.Engine);
@@ -597,6 +615,13 @@
         TurnCase{"LateOrders", {.Yields = true, .LateOrders = true}},
         TurnCase{"LateOrdersAndLapses",
                  {.Yields = true, .StoreCuts = true, .LateOrders = true}},
+        TurnCase{"CutOrders", {.Yields = true, .CutOrders = true}},
+        TurnCase{"CutOrdersAndLapses",
+                 {.Yields = true, .StoreCuts = true, .CutOrders = true}},
+        TurnCase{"CutOrdersAndStops",
+                 {.Yields = true, .Stops = true, .CutOrders = true}},
+        TurnCase{
+            "CutOrdersAndKills", {.Kills = true, .CutOrders = true}, false},
         TurnCase{"RestartsAndStops",
                  {.SlowOrders = true, .RestartsAndStops = true}},
         TurnCase{"EverythingLate",
--- a/src/residency/tests/orderledgertest.cpp
+++ b/src/residency/tests/orderledgertest.cpp
@@ -99,33 +99,6 @@
   EXPECT_TRUE(this->Ledger.mayOrder(Engine, {2}, this->Now));
 }
 
-/// A sender that is alive knows better than a report of the engine, which may
-/// read its connections in any order.
-TEST_F(OrderLedgerTest, AReportOfTheEngineSettlesTheOrdersOfASilentSenderOnly) {
-  this->Ledger.onClaim({1}, false);
-  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now,
-                       this->Now);
-  this->Ledger.onEngineReport(Engine, this->Now + milliseconds(2999),
-                              this->Now + milliseconds(3005));
-  this->Now += milliseconds(3010);
-  EXPECT_FALSE(this->mayOrder());
-  this->Ledger.onEngineReport(Engine, this->Now, this->Now + milliseconds(5));
-  this->Now += milliseconds(5);
-  EXPECT_TRUE(this->mayOrder());
-}
-
-/// Nobody reports while there is no holder.
-TEST_F(OrderLedgerTest, ASenderIsSilentOnlyWhileThisInstanceListens) {
-  this->Ledger.onClaim({1}, false);
-  this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}},
-                       this->Now - milliseconds(3500), this->Now);
-  this->Now += milliseconds(10);
-  this->Ledger.onEngineReport(Engine, this->Now, this->Now);
-  EXPECT_FALSE(this->mayOrder());
-  this->Now += milliseconds(5490);
-  EXPECT_TRUE(this->mayOrder());
-}
-
 /// All processes of a machine are one holder.
 TEST_F(OrderLedgerTest, AnEarlierProcesssLateOrderCountsForTheTurn) {
   this->Ledger.onClaim({1}, false);
@@ -142,9 +115,7 @@
   this->Ledger.onClaim({1}, false);
   this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now,
                        this->Now);
-  this->Now += milliseconds(4000);
-  this->Ledger.onEngineReport(Engine, this->Now, this->Now);
-  this->Now += milliseconds(500);
+  this->Now += milliseconds(9500);
   this->Ledger.prune(this->Now);
   ASSERT_EQ(this->Ledger.all(this->Now).size(), 1U);
   EXPECT_EQ(this->Ledger.all(this->Now)[0].Left, milliseconds(-500));
@@ -168,31 +139,35 @@
   EXPECT_TRUE(this->mayOrder());
 }
 
-/// What a broken connection has carried may wait at the engine.
-TEST_F(OrderLedgerTest, AnOrderWhoseConnectionBrokeIsSettledByALaterReport) {
+/// What a broken connection has carried may be carried out seconds later.
+TEST_F(OrderLedgerTest, AnOrderWhoseConnectionBrokeIsSettledAfterABoundedTime) {
   this->Ledger.onClaim({1}, false);
   this->send();
   this->Ledger.onEnded(Engine);
   this->Ledger.onCut(Engine, this->Now);
-  this->Ledger.onEngineReport(Engine, this->Now - milliseconds(1), this->Now);
+  this->Ledger.prune(this->Now + milliseconds(12999));
   EXPECT_EQ(this->Ledger.own(this->Now).size(), 1U);
-  this->Ledger.onEngineReport(Engine, this->Now, this->Now + milliseconds(5));
+  this->Ledger.prune(this->Now + milliseconds(13000));
   EXPECT_TRUE(this->Ledger.own(this->Now).empty());
+  this->Now += milliseconds(13000);
   this->Ledger.onClaim({5}, false);
-  this->Now += milliseconds(3304);
   EXPECT_FALSE(this->mayOrder());
-  this->Now += milliseconds(1);
+  this->Now += milliseconds(3300);
   EXPECT_TRUE(this->mayOrder());
 }
 
-TEST_F(OrderLedgerTest, AnOrderWhoseConnectionBrokeIsSettledAfterABoundedTime) {
+/// Later orders that were answered do not extend the time.
+TEST_F(OrderLedgerTest, OrdersAfterABrokenConnectionDoNotDelayItsEnd) {
   this->Ledger.onClaim({1}, false);
   this->send();
   this->Ledger.onEnded(Engine);
   this->Ledger.onCut(Engine, this->Now);
-  this->Ledger.prune(this->Now + milliseconds(12999));
-  EXPECT_EQ(this->Ledger.own(this->Now).size(), 1U);
-  this->Ledger.prune(this->Now + milliseconds(13000));
+  this->Now += milliseconds(8000);
+  this->send();
+  this->settle();
+  ASSERT_EQ(this->Ledger.own(this->Now).size(), 1U);
+  EXPECT_EQ(this->Ledger.own(this->Now)[0].Left, milliseconds(5000));
+  this->Ledger.prune(this->Now + milliseconds(5000));
   EXPECT_TRUE(this->Ledger.own(this->Now).empty());
 }
 
@@ -207,13 +182,15 @@
   EXPECT_FALSE(this->mayOrder());
 }
 
-TEST_F(OrderLedgerTest, TheNextProcessOfASenderShowsThatItHasEnded) {
+/// What an ended process has sent may still arrive.
+TEST_F(OrderLedgerTest, TheNextProcessOfASenderSettlesNothing) {
   this->Ledger.onClaim({1}, false);
   this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now,
                        this->Now);
   this->Ledger.replace({Other.Instance, {2}}, {}, this->Now);
+  this->Now += milliseconds(8999);
   EXPECT_FALSE(this->mayOrder());
-  this->Ledger.onEngineReport(Engine, this->Now, this->Now);
+  this->Now += milliseconds(1);
   EXPECT_TRUE(this->mayOrder());
 }
 
