An answer with a status that engines do not give settles no order

An answer with another status than those that the protocol names for orders (such as 502) counted as the engine's own, with an unknown outcome, and settled the order, although it tells nothing about when the order is carried out. It is handled like a broken connection now.

Found by reading; not seen in a run.

--- a/src/residency/types.h
+++ b/src/residency/types.h
@@ -74,7 +74,8 @@
   /// No connection could be made, or sending was no longer allowed: the engine
   /// never gets the order.
   NotSent,
-  /// The connection ended without an answer.
+  /// The connection ended without an answer, or with one that engines do not
+  /// give to orders.
   Cut,
   /// No answer came in time; the engine may still read the order.
   GivenUp,
