Instances hold more credit of accounts that are far below their limits

Cause: an instance held credit for one or two requests, whatever the fleet knew of the account, and waited for the holder at most 300 ms. A holder whose loop stands still for a second refuses them all.

Why it works: while an account has room by the holder's last answer, instances hold what they used lately, 3 s at the longest. The holder counts such credit until it can no longer be used, so that the bound on a window stands. If the holder is late, they overdraw a bounded part and are asked for it afterwards. Near its limit an account is treated as before. A new holder is told of the credit that is kept. The holder discounts the time in which it stood still.

--- a/src/admission/creditbook.h
+++ b/src/admission/creditbook.h
@@ -13,6 +13,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <limits>
 #include <map>
 #include <optional>
@@ -26,6 +27,9 @@
   base::QuantityId Quantity;
   std::int64_t Amount = 0;
   std::uint64_t Request = 0;
+  /// The part of the amount that waiting requests need; the rest is to be held
+  /// in advance.
+  std::int64_t Needed = 0;
 };
 
 /// Returns unneeded credit to the agent.
@@ -46,6 +50,8 @@
   std::chrono::milliseconds AskTimeout{100};
   /// Credit that take() was not called for in this time is returned.
   std::chrono::milliseconds IdleReturn{3000};
+  /// The same while the agent grants credit to be kept.
+  std::chrono::milliseconds IdleReturnWhenKept{3000};
 };
 
 class CreditBook {
@@ -53,7 +59,7 @@
   explicit CreditBook(CreditBookSettings Settings) : Settings(Settings) {}
 
   /// Deducts \p Amount from the balance. Returns false and deducts nothing if
-  /// the balance is too low.
+  /// the balance, with the overdraft, is too low.
   bool take(const base::QuantityId &Quantity, std::int64_t Amount,
             base::TimePoint Now);
 
@@ -70,10 +76,30 @@
   /// Limits the credit held beyond what waiting requests need.
   void setMaxAhead(const base::QuantityId &Quantity, std::int64_t Amount);
 
+  /// Allows the balance to fall below zero by \p Amount. The agent is asked for
+  /// what is overdrawn.
+  void setOverdraft(const base::QuantityId &Quantity, std::int64_t Amount);
+
+  /// Sets for how long credit is kept in advance of its use, as granted with
+  /// the last answer; zero if it is to be returned once idle. What is held now
+  /// and not used by \p Until is returned.
+  void keepFor(const base::QuantityId &Quantity, std::chrono::milliseconds Time,
+               base::TimePoint Until);
+
   /// Drops all credit and pending requests, for when the grantor no longer
   /// grants credit. Negative balances stay.
   void forgetCredit();
 
+  /// Credit that is kept although the grantor has changed.
+  struct CarriedCredit {
+    base::QuantityId Quantity;
+    std::int64_t Amount = 0;
+  };
+  /// Drops pending requests and overdrafts, for when another grantor takes over
+  /// that is told of all uses so far and of the returned credit, which is kept
+  /// until \p Until at the latest.
+  std::vector<CarriedCredit> carryOver(base::TimePoint Until);
+
   /// Processes the agent's answer to a request for credit.
   void credited(const base::QuantityId &Quantity, std::int64_t Amount,
                 std::uint64_t Request, std::chrono::milliseconds RetryAfter,
@@ -83,6 +109,9 @@
   std::vector<CreditCommand> tick(base::TimePoint Now);
 
   std::int64_t held(const base::QuantityId &Quantity) const;
+  /// Returns when the pending request for credit was sent, if there is one.
+  std::optional<base::TimePoint>
+  askedAt(const base::QuantityId &Quantity) const;
   /// Returns the time from which the agent's last answer allows another request
   /// for \p Amount. Returns nothing if that answer named no such time, or if
   /// the refused amount was so much larger that \p Amount may still be granted.
@@ -90,11 +119,20 @@
                                          std::int64_t Amount) const;
 
 private:
+  struct DatedCredit {
+    std::int64_t Amount = 0;
+    base::TimePoint Until;
+  };
   struct Holding {
     std::int64_t Balance = 0;
     std::int64_t Wanted = 0;
     std::int64_t Reserve = 0;
     std::int64_t MaxAhead = std::numeric_limits<std::int64_t>::max();
+    std::int64_t Overdraft = 0;
+    std::chrono::milliseconds KeepFor{0};
+    /// Parts of the balance that are returned if they are not used in time, the
+    /// oldest first.
+    std::deque<DatedCredit> Dated;
     std::uint64_t PendingRequest = 0;
     /// The amount of the last request for credit, and how much of it the agent
     /// refused.
@@ -110,6 +148,9 @@
   };
 
   void rollWindow(Holding &Each, base::TimePoint Now) const;
+  /// Removes what is to be returned now, and returns how much that is.
+  std::int64_t takeUnneeded(Holding &Each, std::int64_t Ahead, bool Recent,
+                            base::TimePoint Now) const;
 
   CreditBookSettings Settings;
   std::map<base::QuantityId, Holding> Holdings;
--- a/src/admission/internal/creditbook.cpp
+++ b/src/admission/internal/creditbook.cpp
@@ -3,6 +3,7 @@
 #include "base/refusal.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace kingcuphub::admission {
 
@@ -18,10 +19,17 @@
   Holding &Each = this->Holdings[Quantity];
   this->rollWindow(Each, Now);
   Each.LastAccessAt = Now;
-  if (Each.Balance < Amount)
+  if (Each.Balance + Each.Overdraft < Amount)
     return false;
   Each.Balance -= Amount;
   Each.UsedInWindow += Amount;
+  for (std::int64_t Left = Amount; Left > 0 && !Each.Dated.empty();) {
+    std::int64_t Part = std::min(Left, Each.Dated.front().Amount);
+    Left -= Part;
+    Each.Dated.front().Amount -= Part;
+    if (Each.Dated.front().Amount == 0)
+      Each.Dated.pop_front();
+  }
   return true;
 }
 
@@ -45,8 +53,43 @@
   this->Holdings[Quantity].MaxAhead = Amount;
 }
 
+void CreditBook::setOverdraft(const base::QuantityId &Quantity,
+                              std::int64_t Amount) {
+  this->Holdings[Quantity].Overdraft = Amount;
+}
+
+void CreditBook::keepFor(const base::QuantityId &Quantity,
+                         std::chrono::milliseconds Time,
+                         base::TimePoint Until) {
+  Holding &Each = this->Holdings[Quantity];
+  Each.KeepFor = Time;
+  std::int64_t Undated = Each.Balance;
+  for (const DatedCredit &Known : Each.Dated)
+    Undated -= Known.Amount;
+  if (Time.count() > 0 && Undated > 0)
+    Each.Dated.push_back({Undated, Until});
+}
+
+std::vector<CreditBook::CarriedCredit>
+CreditBook::carryOver(base::TimePoint Until) {
+  std::vector<CarriedCredit> Out;
+  for (auto &[Quantity, Each] : this->Holdings) {
+    Each.Balance = std::max<std::int64_t>(Each.Balance, 0);
+    Each.PendingRequest = 0;
+    Each.Refused = 0;
+    Each.RetryAt = {};
+    Each.Dated.clear();
+    if (Each.Balance == 0)
+      continue;
+    Each.Dated.push_back({Each.Balance, Until});
+    Out.push_back({Quantity, Each.Balance});
+  }
+  return Out;
+}
+
 void CreditBook::forgetCredit() {
   for (auto &[Quantity, Each] : this->Holdings) {
+    Each.Dated.clear();
     Each.Balance = std::min<std::int64_t>(Each.Balance, 0);
     Each.PendingRequest = 0;
     Each.Refused = 0;
@@ -72,12 +115,17 @@
   std::vector<CreditCommand> Out;
   for (auto &[Quantity, Each] : this->Holdings) {
     this->rollWindow(Each, Now);
-    bool Recent = Now - Each.LastAccessAt < this->Settings.IdleReturn;
+    bool Recent = Now - Each.LastAccessAt <
+                  (Each.KeepFor.count() > 0 ? this->Settings.IdleReturnWhenKept
+                                            : this->Settings.IdleReturn);
     std::int64_t Ahead = std::max(Each.UsedInWindow, Each.UsedInPreviousWindow);
     if (Recent)
       Ahead = std::max(Ahead, Each.Reserve);
     Ahead = std::min(Ahead, Each.MaxAhead);
     std::int64_t Target = Each.Wanted + Ahead;
+    if (std::int64_t Unneeded = this->takeUnneeded(Each, Ahead, Recent, Now);
+        Unneeded > 0)
+      Out.push_back(ReturnCredit{Quantity, Unneeded});
     bool Unanswered = Each.PendingRequest != 0 &&
                       Now - Each.AskedAt < this->Settings.AskTimeout;
     // Requests more at half of the target balance, so that the answer arrives
@@ -91,17 +139,40 @@
       Each.PendingRequest = ++this->LastRequest;
       Each.AskedAt = Now;
       Each.Asked = Shortfall;
-      Out.push_back(AskCredit{Quantity, Shortfall, Each.PendingRequest});
+      std::int64_t Needed =
+          std::max<std::int64_t>(Each.Wanted - Each.Balance, 0);
+      Out.push_back(
+          AskCredit{Quantity, Shortfall, Each.PendingRequest, Needed});
     }
-    bool Idle = Each.Wanted == 0 && Ahead == 0 && Each.Balance > 0 && !Recent;
-    if (!Idle)
-      continue;
-    Out.push_back(ReturnCredit{Quantity, Each.Balance});
-    Each.Balance = 0;
   }
   return Out;
 }
 
+std::int64_t CreditBook::takeUnneeded(Holding &Each, std::int64_t Ahead,
+                                      bool Recent, base::TimePoint Now) const {
+  bool Idle = Each.Wanted == 0 && Ahead == 0 && Each.Balance > 0 && !Recent;
+  if (Idle) {
+    Each.Dated.clear();
+    return std::exchange(Each.Balance, 0);
+  }
+  std::int64_t Out = 0;
+  while (!Each.Dated.empty() && Each.Dated.front().Until <= Now) {
+    Out += Each.Dated.front().Amount;
+    Each.Dated.pop_front();
+  }
+  Out = std::clamp<std::int64_t>(Each.Balance, 0, Out);
+  Each.Balance -= Out;
+  return Out;
+}
+
+std::optional<base::TimePoint>
+CreditBook::askedAt(const base::QuantityId &Quantity) const {
+  auto Found = this->Holdings.find(Quantity);
+  if (Found == this->Holdings.end() || Found->second.PendingRequest == 0)
+    return std::nullopt;
+  return Found->second.AskedAt;
+}
+
 std::int64_t CreditBook::held(const base::QuantityId &Quantity) const {
   auto Found = this->Holdings.find(Quantity);
   return Found == this->Holdings.end() ? 0 : Found->second.Balance;
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -69,9 +69,6 @@
   /// An instance that was silent for this long no longer counts when limits are
   /// split.
   std::chrono::milliseconds InstanceTimeout{60000};
-  /// An instance that was silent for this long may be partitioned from the
-  /// holder.
-  std::chrono::milliseconds SilentAfter{1000};
   /// How long the store may hold a request for a newer catalog: for the holder,
   /// whose answers confirm to the others that their catalog is the newest; for
   /// an instance with a responding holder, which also reports newer versions;
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -130,7 +130,7 @@
     return false;
   return std::any_of(
       this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
-        return Now < Each.second.HeardAt + this->Settings.SilentAfter &&
+        return Now < Each.second.HeardAt + dispatch::SilentAfter &&
                residency::shouldYield(this->Settings.Lease.Handicap,
                                       Each.second.Handicap);
       });
@@ -242,22 +242,24 @@
     if (Account == nullptr)
       continue;
     dispatch::CreditGrant Grant =
-        this->Usage.onAsk(*Account, Each.amount(), Now);
+        this->Usage.onAsk(*Account, {Each.amount(), Each.needed()}, Now);
     wire::TokenGrant &Out = *To.add_grants();
     Out.set_account(Each.account());
     Out.set_amount(Grant.Amount);
     Out.set_request(Each.request());
     Out.set_retry_after_ms(
         static_cast<std::uint32_t>(Grant.RetryAfter.count()));
+    Out.set_keep_for_ms(static_cast<std::uint32_t>(Grant.KeepFor.count()));
   }
 }
 
 void HolderRole::updateInstanceCounts(base::TimePoint Now) {
   unsigned Total = this->instances();
+  // This instance heard nobody while it stood still.
+  base::Duration Silence = dispatch::SilentAfter + this->Usage.recentStall(Now);
   auto Heard = static_cast<unsigned>(std::count_if(
-      this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
-        return Now < Each.second.HeardAt + this->Settings.SilentAfter;
-      }));
+      this->Instances.begin(), this->Instances.end(),
+      [&](const auto &Each) { return Now < Each.second.HeardAt + Silence; }));
   this->Usage.setInstances(Total, Total - std::min(Total, Heard));
 }
 
@@ -271,6 +273,7 @@
   if (!this->Token)
     return;
   base::TimePoint Begun = this->Clock.now();
+  this->Usage.tick(Begun);
   this->updateInstanceCounts(Begun);
   residency::OrderGate Gate{
       this->Lease.orderToken(Begun).has_value(),
--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -43,6 +43,7 @@
                                Out.set_account(accountOf(Ask.Quantity));
                                Out.set_amount(Ask.Amount);
                                Out.set_request(Ask.Request);
+                               Out.set_needed(Ask.Needed);
                              },
                              [&To](const admission::ReturnCredit &Return) {
                                wire::TokenReturn &Out = *To.add_token_returns();
@@ -387,7 +388,8 @@
   for (const wire::TokenGrant &Each : From.grants())
     Out.push_back(
         {{Each.account()},
-         {Each.amount(), std::chrono::milliseconds(Each.retry_after_ms())},
+         {Each.amount(), std::chrono::milliseconds(Each.retry_after_ms()),
+          std::chrono::milliseconds(Each.keep_for_ms())},
          Each.request()});
   return Out;
 }
--- a/src/dispatch/internal/usageadmission.cpp
+++ b/src/dispatch/internal/usageadmission.cpp
@@ -1,7 +1,5 @@
 #include "dispatch/usageadmission.h"
 
-#include "base/visitor.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -27,10 +25,31 @@
   return Now > this->ContactAt + this->Settings.IsolatedAfter;
 }
 
+bool UsageAdmission::isHolderLate(const base::QuantityId &Quantity,
+                                  base::TimePoint Now) const {
+  auto AskedAt = this->Book.askedAt(Quantity);
+  return this->isIsolated(Now) ||
+         (AskedAt && Now >= *AskedAt + this->Settings.LateAfter);
+}
+
+void UsageAdmission::updateOverdrafts(base::TimePoint Now) {
+  for (const auto &[Account, Last] : this->LastAnswers) {
+    base::QuantityId Quantity = admission::accountTokens(Account);
+    bool MayOverdraw = Last.IsAmple && this->isHolderLate(Quantity, Now);
+    this->Book.setOverdraft(Quantity, MayOverdraw ? Last.Overdraft : 0);
+  }
+}
+
 bool UsageAdmission::takeIsolated(const catalog::Account &Account,
                                   std::int64_t Amount, base::TimePoint Now) {
   double Fraction = IsolatedFraction / std::max(1U, this->Instances);
-  double Capacity = Fraction * Account.Burst;
+  double BurstPart = Fraction * Account.Burst;
+  auto Cost = static_cast<double>(Amount);
+  // If every instance overdrew its bucket, an account near its limit would
+  // exceed it.
+  auto Last = this->LastAnswers.find(Account.Id);
+  bool IsNearLimit = Last != this->LastAnswers.end() && !Last->second.IsAmple;
+  double Capacity = IsNearLimit ? std::max(BurstPart, Cost) : BurstPart;
   LocalBucket &Bucket = this->LocalBuckets[Account.Id];
   double Passed = std::chrono::duration<double>(Now - Bucket.At).count();
   Bucket.Level =
@@ -38,15 +57,17 @@
           ? std::min(Bucket.Level + Fraction * Account.RatePerSecond *
                                         std::max(0.0, Passed),
                      Capacity)
-          : Capacity;
+          : BurstPart;
   Bucket.Started = true;
   Bucket.At = Now;
-  // A request larger than the capacity overdraws the full bucket; otherwise it
-  // could never run.
-  double Needed = std::min(static_cast<double>(Amount), Capacity);
-  if (Bucket.Level < Needed)
+  // A request larger than the burst's part overdraws the full bucket; otherwise
+  // it could never run.
+  if (Bucket.Level < std::min(Cost, Capacity))
     return false;
   Bucket.Level -= static_cast<double>(Amount);
+  // The holder reserves the isolated part for instances that count as silent.
+  if (Now < this->ContactAt + SilentAfter)
+    this->Book.putBack(admission::accountTokens(Account.Id), -Amount);
   return true;
 }
 
@@ -56,15 +77,27 @@
   auto Burst = static_cast<std::int64_t>(Account.Burst);
   Wait.Cost =
       base::Tokens{std::min(Wait.Cost.Value, std::max<std::int64_t>(1, Burst))};
-  bool HasCredit =
-      this->Book.held(admission::accountTokens(Account.Id)) >= Wait.Cost.Value;
+  base::QuantityId Quantity = admission::accountTokens(Account.Id);
+  double Share =
+      limitOver(Account, this->Settings.Window) / std::max(1U, this->Instances);
+  auto Last = this->LastAnswers.find(Account.Id);
+  bool IsAmple = Last != this->LastAnswers.end() && Last->second.IsAmple;
   this->Book.setMaxAhead(
-      admission::accountTokens(Account.Id),
-      static_cast<std::int64_t>(limitOver(Account, this->Settings.Window) *
-                                this->Settings.AheadFraction /
-                                std::max(1U, this->Instances)));
-  if (!this->isIsolated(Now) || HasCredit) {
-    this->Waiting.add(toStateAccount(Account), std::move(Wait), Now);
+      Quantity, static_cast<std::int64_t>(
+                    Share * (IsAmple ? AmpleAheadFraction : AheadFraction)));
+  if (IsAmple)
+    Last->second.Overdraft =
+        static_cast<std::int64_t>(Share * this->Settings.OverdraftFraction);
+  if (!this->isIsolated(Now) || this->Book.held(Quantity) >= Wait.Cost.Value) {
+    this->Waiting.add(toStateAccount(Account), Wait, Now);
+    if (IsAmple)
+      this->Book.setReserve(Quantity, 1 * Wait.Cost.Value);
+    return;
+  }
+  this->updateOverdrafts(Now);
+  if (IsAmple && this->Book.take(Quantity, Wait.Cost.Value, Now)) {
+    this->Decided.emplace_back(
+        admission::TokensTaken{Wait.Request, Account.Id, Wait.Cost});
     return;
   }
   if (this->takeIsolated(Account, Wait.Cost.Value, Now))
@@ -94,18 +127,31 @@
 }
 
 std::vector<UsedAmount> UsageAdmission::onNewHolder(base::TimePoint Now) {
-  this->Book.forgetCredit();
-  return this->History.used(Now);
+  std::vector<UsedAmount> Out = this->History.used(Now);
+  for (const auto &[Quantity, Amount] :
+       this->Book.carryOver(Now + this->Settings.CarryOverFor))
+    Out.push_back(
+        {admission::accountOfTokens(Quantity), Amount, endOfBucket(Now)});
+  return Out;
 }
 
 void UsageAdmission::onCredit(const base::AccountId &Account,
                               const CreditGrant &Grant, std::uint64_t Request,
                               base::TimePoint Now) {
-  this->Book.credited(admission::accountTokens(Account), Grant.Amount, Request,
-                      Grant.RetryAfter, Now);
+  base::QuantityId Quantity = admission::accountTokens(Account);
+  // Counts from the request, as the holder counts from its answer.
+  base::TimePoint Until =
+      this->Book.askedAt(Quantity).value_or(Now) + Grant.KeepFor;
+  this->Book.credited(Quantity, Grant.Amount, Request, Grant.RetryAfter, Now);
+  this->Book.keepFor(Quantity, Grant.KeepFor, Until);
+  LastAnswer &Last = this->LastAnswers[Account];
+  Last.IsAmple = Grant.KeepFor.count() > 0;
+  if (!Last.IsAmple)
+    this->Book.setReserve(Quantity, 0);
 }
 
 std::vector<admission::TokenOutcome> UsageAdmission::tick(base::TimePoint Now) {
+  this->updateOverdrafts(Now);
   std::vector<admission::TokenOutcome> Out = std::exchange(this->Decided, {});
   for (admission::TokenOutcome &Each : this->Waiting.tick(Now))
     Out.push_back(std::move(Each));
--- a/src/dispatch/internal/usagepool.cpp
+++ b/src/dispatch/internal/usagepool.cpp
@@ -18,10 +18,31 @@
 
 void UsagePool::start(base::TimePoint Now) {
   this->StartedAt = Now;
+  this->TickedAt = Now;
+  this->Stall = base::Duration::zero();
   this->ReportedInstances = 0;
   this->Pools.clear();
 }
 
+void UsagePool::tick(base::TimePoint Now) {
+  base::Duration Gap = Now - std::exchange(this->TickedAt, Now);
+  if (Gap < this->Settings.StallThreshold)
+    return;
+  this->Stall = Gap;
+  this->StallEnd = Now;
+}
+
+base::Duration UsagePool::recentStall(base::TimePoint Now) const {
+  return Now < this->StallEnd + this->Stall ? this->Stall
+                                            : base::Duration::zero();
+}
+
+double UsagePool::maxLevel(const catalog::Account &Account,
+                           base::TimePoint Now) const {
+  return Account.Burst +
+         Account.RatePerSecond * Seconds(this->recentStall(Now)).count();
+}
+
 void UsagePool::onHistory(const std::vector<UsedAmount> &Used, bool Whole) {
   this->ReportedInstances += Whole ? 1 : 0;
   for (auto &[Id, Each] : this->Pools)
@@ -69,10 +90,11 @@
   base::TimePoint At = this->StartedAt - this->Settings.Window;
   double Rate = this->refillRate(Account, Now);
   auto Take = [&](const Granted &Each, double Scale) {
-    double Passed = std::max(0.0, Seconds(Each.At - At).count());
+    base::TimePoint TakenAt = std::min(Each.At, Now);
+    double Passed = std::max(0.0, Seconds(TakenAt - At).count());
     Level = std::min(Level + Rate * Passed, Account.Burst);
     Level = std::max(0.0, Level - Each.Amount * Scale);
-    At = std::max(At, Each.At);
+    At = std::max(At, TakenAt);
   };
   for (const Granted &Each : AccountPool.BeforeLease)
     Take(Each, this->historyScale());
@@ -115,7 +137,7 @@
   AccountPool.Level =
       std::min(AccountPool.Level +
                    this->refillRate(Account, Now) * std::max(0.0, Passed),
-               Account.Burst);
+               this->maxLevel(Account, Now));
   if (this->isHistoryKnown() && !std::exchange(AccountPool.Replayed, true))
     AccountPool.Level = this->replayedLevel(AccountPool, Account, Now);
   AccountPool.At = Now;
@@ -158,11 +180,42 @@
                                : this->Settings.LongestRetry);
 }
 
+void UsagePool::addGranted(Pool &AccountPool, std::int64_t Amount,
+                           base::TimePoint At) {
+  if (Amount <= 0)
+    return;
+  auto Value = static_cast<double>(Amount);
+  AccountPool.Level -= Value;
+  AccountPool.WindowSum += Value;
+  auto Later = std::upper_bound(
+      AccountPool.InWindow.begin(), AccountPool.InWindow.end(), At,
+      [](base::TimePoint Of, const Granted &Each) { return Of < Each.At; });
+  AccountPool.InWindow.insert(Later, {At, Value});
+}
+
 CreditGrant UsagePool::onAsk(const catalog::Account &Account,
-                             std::int64_t Amount, base::TimePoint Now) {
+                             CreditRequest Request, base::TimePoint Now) {
   Pool &AccountPool = this->refill(Account, Now);
-  double InWindow =
-      this->windowLimit(Account) - this->usedInWindow(AccountPool);
+  double Limit = this->windowLimit(Account);
+  double InWindow = Limit - this->usedInWindow(AccountPool);
+  // A new holder does not know yet what is left.
+  bool IsHistoryKnown =
+      this->isHistoryKnown() || Now >= this->StartedAt + this->Settings.Window;
+  double Spare = std::min(AccountPool.Level -
+                              this->Settings.AmpleBurstFraction * Account.Burst,
+                          InWindow - this->Settings.AmpleLimitFraction * Limit);
+  if (IsHistoryKnown && static_cast<double>(Request.Amount) <= Spare) {
+    addGranted(AccountPool, Request.Needed, Now);
+    addGranted(AccountPool, Request.Amount - Request.Needed,
+               Now + this->Settings.KeepFor);
+    return {Request.Amount, std::chrono::milliseconds(0),
+            this->Settings.KeepFor};
+  }
+  std::int64_t Amount =
+      std::min(Request.Amount,
+               Request.Needed + static_cast<std::int64_t>(
+                                    limitOver(Account, this->Settings.Window) *
+                                    AheadFraction / this->Instances));
   auto Level = static_cast<std::int64_t>(
       std::max(0.0, std::min(AccountPool.Level, InWindow)));
   CreditGrant Out;
@@ -171,12 +224,7 @@
       Amount < 2 * this->Settings.MinGrant ? Amount : this->Settings.MinGrant;
   if (Level >= Least)
     Out.Amount = std::min(Amount, Level);
-  if (Out.Amount > 0) {
-    auto Granted = static_cast<double>(Out.Amount);
-    AccountPool.Level -= Granted;
-    AccountPool.WindowSum += Granted;
-    AccountPool.InWindow.push_back({Now, Granted});
-  }
+  addGranted(AccountPool, Out.Amount, Now);
   std::int64_t Missing = Amount - Out.Amount;
   if (Missing > 0)
     Out.RetryAfter =
@@ -189,14 +237,19 @@
                          base::TimePoint Now) {
   Pool &AccountPool = this->refill(Account, Now);
   auto Left = static_cast<double>(Amount);
-  AccountPool.Level = std::min(AccountPool.Level + Left, Account.Burst);
+  AccountPool.Level =
+      std::min(AccountPool.Level + Left, this->maxLevel(Account, Now));
+  // Credit is returned once it may no longer be used.
+  auto Next = std::upper_bound(
+      AccountPool.InWindow.begin(), AccountPool.InWindow.end(), Now,
+      [](base::TimePoint Of, const Granted &Each) { return Of < Each.At; });
   while (Left > 0 && !AccountPool.InWindow.empty()) {
-    double Part = std::min(Left, AccountPool.InWindow.back().Amount);
+    auto From = Next == AccountPool.InWindow.begin() ? Next : std::prev(Next);
+    double Part = std::min(Left, From->Amount);
     Left -= Part;
     AccountPool.WindowSum -= Part;
-    AccountPool.InWindow.back().Amount -= Part;
-    if (AccountPool.InWindow.back().Amount <= 0)
-      AccountPool.InWindow.pop_back();
+    From->Amount -= Part;
+    Next = From->Amount <= 0 ? AccountPool.InWindow.erase(From) : From;
   }
 }
 
--- a/src/dispatch/tests/usagetest.cpp
+++ b/src/dispatch/tests/usagetest.cpp
@@ -53,15 +53,28 @@
       this->Now += Step;
       if (Passed % milliseconds(3000) == milliseconds(0))
         this->drawWeights();
+      this->endStall();
       this->deliver();
-      this->countSilent();
+      if (!this->isStalled())
+        this->tickHolder();
       for (std::size_t Index = 0; Index < this->SimulatedInstances.size();
            ++Index)
         this->serve(Index, Factor);
     }
   }
 
+  /// The holder stands still again and again for 10 s.
+  void runWithStalls() {
+    constexpr double LoadFactor = 0.55;
+    this->run(milliseconds(10000), LoadFactor);
+    this->stallHolder(milliseconds(1500));
+    this->run(milliseconds(10000), LoadFactor);
+    this->stallHolder(milliseconds(0));
+    this->run(milliseconds(4000), LoadFactor);
+  }
+
   void changeHolder() {
+    this->Arrived.clear();
     this->Pool.start(this->Now);
     for (SimulatedInstance &Each : this->SimulatedInstances)
       Each.KnowsHolder = false;
@@ -76,6 +89,13 @@
   }
   /// Delays the holder's answers by \p Late in addition to the network delay.
   void delayAnswers(milliseconds Late) { this->AnswerDelay = Late; }
+  /// Lets the holder stand still again and again for up to \p Longest; what
+  /// arrives meanwhile is handled together. Zero ends it.
+  void stallHolder(milliseconds Longest) {
+    this->LongestStall = Longest;
+    if (Longest == milliseconds(0))
+      this->handleArrived();
+  }
   double admittedPerSecond() const {
     double Sum = 0;
     for (const auto &[At, Amount] : this->Admitted)
@@ -150,7 +170,7 @@
       if (!Instance.Cut)
         this->sendToHolder(Index, Each);
     // The holder also answers the periodic reports.
-    if (!Instance.Cut)
+    if (!Instance.Cut && !this->isStalled())
       this->reply(Index, std::nullopt, 0);
   }
 
@@ -168,9 +188,41 @@
   }
 
   void sendToHolder(std::size_t Index, const admission::CreditCommand &What) {
+    if (this->isStalled())
+      this->Arrived.emplace_back(Index, What);
+    else
+      this->handleAtHolder(Index, What);
+  }
+
+  bool isStalled() const { return this->LongestStall > milliseconds(0); }
+
+  /// Ends a stall and begins the next one.
+  void endStall() {
+    if (!this->isStalled() || this->Now < this->StalledUntil)
+      return;
+    this->handleArrived();
+    std::uniform_int_distribution<std::int64_t> Draw(
+        50, this->LongestStall.count());
+    this->StalledUntil = this->Now + milliseconds(Draw(this->Random));
+  }
+
+  void handleArrived() {
+    // Before anything that has arrived.
+    this->tickHolder();
+    for (const auto &[Index, What] : std::exchange(this->Arrived, {}))
+      this->handleAtHolder(Index, What);
+    // The reports that have arrived.
+    for (std::size_t Index = 0; Index < this->SimulatedInstances.size();
+         ++Index)
+      if (!this->SimulatedInstances[Index].Cut)
+        this->reply(Index, std::nullopt, 0);
+  }
+
+  void handleAtHolder(std::size_t Index, const admission::CreditCommand &What) {
     if (auto *Ask = std::get_if<admission::AskCredit>(&What))
       this->reply(Index,
-                  this->Pool.onAsk(this->Account, Ask->Amount, this->Now),
+                  this->Pool.onAsk(this->Account, {Ask->Amount, Ask->Needed},
+                                   this->Now),
                   Ask->Request);
     if (auto *Return = std::get_if<admission::ReturnCredit>(&What))
       this->Pool.onReturn(this->Account, Return->Amount, this->Now);
@@ -200,10 +252,12 @@
     }
   }
 
-  void countSilent() {
+  void tickHolder() {
+    this->Pool.tick(this->Now);
+    base::Duration Silence = SilentAfter + this->Pool.recentStall(this->Now);
     unsigned Silent = 0;
     for (const SimulatedInstance &Each : this->SimulatedInstances)
-      Silent += this->Now > Each.ReportedAt + milliseconds(1000) ? 1 : 0;
+      Silent += this->Now > Each.ReportedAt + Silence ? 1 : 0;
     this->Pool.setInstances(
         static_cast<unsigned>(this->SimulatedInstances.size()), Silent);
   }
@@ -226,6 +280,10 @@
   std::vector<SimulatedInstance> SimulatedInstances;
   std::deque<Reply> Replies;
   milliseconds AnswerDelay{0};
+  milliseconds LongestStall{0};
+  base::TimePoint StalledUntil;
+  /// What the holder has not handled yet.
+  std::vector<std::pair<std::size_t, admission::CreditCommand>> Arrived;
   std::deque<std::pair<base::TimePoint, double>> Admitted;
   std::uint64_t Requests = 0;
   std::size_t Refused = 0;
@@ -355,3 +413,58 @@
         << "of " << All.requestCount() << ", seed " << Seed;
   }
 }
+
+namespace {
+
+constexpr Scenario LargeAccount{73, 200000, 200000, 600, true};
+/// Each instance sees a request of it every other second.
+constexpr Scenario SmallAccount{73, 45000, 45000, 800, true};
+
+} // namespace
+
+/// The holder's machine is overloaded by an account far above its limit, and
+/// answers everything 50 to 1,500 ms late, also what the other accounts need.
+TEST(UsageTest, AHolderThatStandsStillRefusesNobodyOfALargeAccount) {
+  for (std::uint64_t Seed : {21, 22, 23, 24}) {
+    Fleet All(Seed, LargeAccount);
+    All.runWithStalls();
+    EXPECT_EQ(All.beyondLimit(), 0U);
+    EXPECT_LE(All.refused(), All.requestCount() / 600)
+        << "of " << All.requestCount();
+  }
+}
+
+/// The same for a few large accounts and many small ones, of which an instance
+/// sees a request now and then.
+TEST(UsageTest, AHolderThatStandsStillRefusesFewBelowTheLimit) {
+  constexpr double TokensPerRequest = 800;
+  std::size_t Refused = 0;
+  std::size_t Requests = 0;
+  for (double Limit : {420e3, 174e3, 138e3, 116e3, 100e3, 88e3, 79e3, 72e3,
+                       66e3, 62e3, 57e3, 54e3, 51e3, 48e3, 46e3}) {
+    Fleet All(21, {73, Limit, Limit, TokensPerRequest, true});
+    All.runWithStalls();
+    EXPECT_EQ(All.beyondLimit(), 0U);
+    Refused += All.refused();
+    Requests += All.requestCount();
+  }
+  EXPECT_LE(Refused, Requests / 600) << "of " << Requests;
+}
+
+/// The limit holds for accounts of any size that begin to send many times their
+/// rate while the holder stands still again and again.
+RC_GTEST_PROP(UsageTest, AHolderThatStandsStillKeepsTheLimit, ()) {
+  Scenario Deployment =
+      *rc::gen::element(LargeFleet, LargeAccount, SmallAccount);
+  double Limit = Deployment.PerSecond * 8 + Deployment.MaxBurst;
+  Fleet All(*rc::gen::arbitrary<std::uint64_t>(), Deployment);
+  All.run(milliseconds(9000), 0.1 * *rc::gen::inRange(0, 10));
+  for (int Round = 0; Round < 3; ++Round) {
+    All.stallHolder(milliseconds(*rc::gen::element(0, 300, 1500)));
+    All.run(milliseconds(*rc::gen::inRange(500, 5000)),
+            *rc::gen::inRange(0, 9));
+    if (*rc::gen::inRange(0, 4) == 0)
+      All.changeHolder();
+  }
+  RC_ASSERT(All.MaxInWindow <= Limit * 1.1 + 7000);
+}
--- a/src/dispatch/usageadmission.h
+++ b/src/dispatch/usageadmission.h
@@ -11,7 +11,11 @@
 /// With a hundred instances that each see an occasional request of an account,
 /// credit held in advance must stay a small fraction of the account's limit,
 /// and unneeded credit is returned at once. Otherwise the limit would be tied
-/// up in amounts too small for the next request.
+/// up in amounts too small for the next request. While an account is far below
+/// its limit, instances hold more, and overdraw if the holder answers late.
+///
+/// Load pattern: an account at many times its limit keeps the holder's machine
+/// busy, so that its answers to all accounts come seconds late.
 
 #include "admission/creditbook.h"
 #include "admission/ratelimitqueue.h"
@@ -30,14 +34,20 @@
   base::Duration IsolatedAfter = std::chrono::milliseconds(400);
   /// The time span over which limits apply; set by the deployment.
   base::Duration Window = std::chrono::seconds(8);
-  /// Fraction of a limit that all instances together may hold in advance.
-  double AheadFraction = 0.05;
   /// Credit requests time out late, so that they are repeated only if the
   /// answer is lost: if it is merely late, the repetition is granted as well.
   /// Idle credit is returned early, as other instances can use it.
-  admission::CreditBookSettings Book{std::chrono::milliseconds(200),
-                                     std::chrono::milliseconds(400),
+  admission::CreditBookSettings Book{std::chrono::milliseconds(2000),
+                                     std::chrono::milliseconds(2000),
                                      std::chrono::milliseconds(300)};
+  /// The holder is late if a request for credit is unanswered for this long.
+  std::chrono::milliseconds LateAfter{100};
+  /// Fraction of the limit of an account far below it that all instances
+  /// together may overdraw while the holder is late.
+  double OverdraftFraction = 0.15;
+  /// How long credit of an earlier holder is kept: until the new one has
+  /// collected what was admitted before.
+  std::chrono::milliseconds CarryOverFor{1000};
 };
 
 class UsageAdmission {
@@ -61,8 +71,8 @@
                base::TimePoint Now);
   void onCredit(const base::AccountId &Account, const CreditGrant &Grant,
                 std::uint64_t Request, base::TimePoint Now);
-  /// The lease has a new holder: credit from the previous one is void. Returns
-  /// what was admitted within the window.
+  /// The lease has a new holder. Returns what was admitted within the window,
+  /// and the credit that is kept until the new holder grants some.
   std::vector<UsedAmount> onNewHolder(base::TimePoint Now);
   /// The holder has sent an answer of any kind.
   void onContact(base::TimePoint Now) { this->ContactAt = Now; }
@@ -73,6 +83,13 @@
   bool hasWaiting() const { return this->Waiting.size() > 0; }
 
 private:
+  /// What the holder's last answer said of an account.
+  struct LastAnswer {
+    /// The account was far below its limit.
+    bool IsAmple = false;
+    /// How much this instance may overdraw while the holder is late.
+    std::int64_t Overdraft = 0;
+  };
   struct LocalBucket {
     double Level = 0;
     base::TimePoint At;
@@ -80,6 +97,12 @@
   };
 
   bool isIsolated(base::TimePoint Now) const;
+  /// Whether the holder has not answered a request for the account's credit in
+  /// time, or nothing at all.
+  bool isHolderLate(const base::QuantityId &Quantity,
+                    base::TimePoint Now) const;
+  /// Allows overdrafts where the holder is late.
+  void updateOverdrafts(base::TimePoint Now);
   bool takeIsolated(const catalog::Account &Account, std::int64_t Amount,
                     base::TimePoint Now);
 
@@ -91,6 +114,7 @@
   unsigned Instances = 16;
   base::TimePoint ContactAt;
   std::map<base::AccountId, LocalBucket> LocalBuckets;
+  std::map<base::AccountId, LastAnswer> LastAnswers;
   std::vector<admission::TokenOutcome> Decided;
 };
 
--- a/src/dispatch/usagepool.h
+++ b/src/dispatch/usagepool.h
@@ -32,10 +32,29 @@
 /// The amount that an account may use within a window of this length.
 double limitOver(const catalog::Account &Account, base::Duration Window);
 
+/// Fraction of an account's limit that all instances together may hold in
+/// advance of its use, unless the account is far below its limit.
+constexpr double AheadFraction = 0.05;
+/// The same for an account that is far below its limit.
+constexpr double AmpleAheadFraction = 0.25;
+/// An instance that the holder has not heard for this long counts as silent: it
+/// may be disconnected and use its isolated part of the limits.
+constexpr std::chrono::milliseconds SilentAfter{1000};
+
+/// An instance's request for credit.
+struct CreditRequest {
+  std::int64_t Amount = 0;
+  /// The part that waiting requests need.
+  std::int64_t Needed = 0;
+};
+
 struct CreditGrant {
   std::int64_t Amount = 0;
   /// When to request the rest; 0 if all was granted.
   std::chrono::milliseconds RetryAfter{0};
+  /// The account is far below its limit: the instance may hold more in advance,
+  /// each amount for this long from when it was requested. Otherwise 0.
+  std::chrono::milliseconds KeepFor{0};
 };
 
 struct UsagePoolSettings {
@@ -62,6 +81,16 @@
   std::chrono::milliseconds LongestRetryWhileLearning{50};
   /// How long collecting takes; instances report several times a second.
   std::chrono::milliseconds LearningFor{1000};
+  /// How long instances may hold credit of an account that is far below its
+  /// limit: longer than a busy machine takes to answer.
+  std::chrono::milliseconds KeepFor{2500};
+  /// An account is far below its limit while these fractions of its burst and
+  /// of its limit over the window are left after a grant.
+  double AmpleBurstFraction = 0.5;
+  double AmpleLimitFraction = 0.2;
+  /// The holder has stood still if tick() was not called for this long. It
+  /// takes as long again at most until what waited is handled.
+  std::chrono::milliseconds StallThreshold{200};
 };
 
 class UsagePool {
@@ -70,19 +99,27 @@
 
   /// The lease was acquired; what was admitted before is not known yet.
   void start(base::TimePoint Now);
+  /// Called several times a second. After a gap, pools hold what has been
+  /// refilled meanwhile on top of their burst, for the requests that waited.
+  void tick(base::TimePoint Now);
+  /// How long the holder has just stood still, if it is still catching up;
+  /// nobody was heard meanwhile.
+  base::Duration recentStall(base::TimePoint Now) const;
   /// Of \p NewInstances instances, \p NewSilent have not reported recently.
   void setInstances(unsigned NewInstances, unsigned NewSilent);
   /// Adds what an instance admitted before this holder granted it anything;
   /// called once per instance. \p Whole states that the instance has run for a
   /// whole window.
   void onHistory(const std::vector<UsedAmount> &Used, bool Whole);
-  CreditGrant onAsk(const catalog::Account &Account, std::int64_t Amount,
+  CreditGrant onAsk(const catalog::Account &Account, CreditRequest Request,
                     base::TimePoint Now);
   void onReturn(const catalog::Account &Account, std::int64_t Amount,
                 base::TimePoint Now);
 
 private:
   struct Granted {
+    /// The latest time at which it may be used; for amounts that waiting
+    /// requests need, when they were granted.
     base::TimePoint At;
     double Amount = 0;
   };
@@ -90,6 +127,7 @@
   struct Pool {
     double Level = 0;
     base::TimePoint At;
+    /// Ordered by time.
     std::deque<Granted> InWindow;
     double WindowSum = 0;
     /// Amounts that instances reported for the time before the lease, ordered
@@ -114,8 +152,11 @@
   /// instances.
   double pooledFraction() const;
   double refillRate(const catalog::Account &Account, base::TimePoint Now) const;
+  double maxLevel(const catalog::Account &Account, base::TimePoint Now) const;
   double windowLimit(const catalog::Account &Account) const;
   Pool &refill(const catalog::Account &Account, base::TimePoint Now);
+  static void addGranted(Pool &AccountPool, std::int64_t Amount,
+                         base::TimePoint At);
   std::chrono::milliseconds retryDelay(const Pool &AccountPool,
                                        const catalog::Account &Account,
                                        double Amount,
@@ -123,6 +164,10 @@
 
   UsagePoolSettings Settings;
   base::TimePoint StartedAt;
+  base::TimePoint TickedAt;
+  /// The length and the end of the last stall.
+  base::Duration Stall{0};
+  base::TimePoint StallEnd;
   unsigned Instances = 1;
   unsigned Silent = 0;
   /// Instances that have reported on a whole window before the lease.
