A refusal for an account's limit says why credit is missing

The line `ended` has `credit` (exhausted, unanswered, isolated), what is held, and how long ago the holder answered on the account and at all. The summary of kingcuphub-explain counts by account, and refusals by this cause; so far that was done by hand.

--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -362,6 +362,8 @@
     base::Duration Late = Now - this->TickedAt - this->Settings.Tick;
     this->TickedAt = Now;
     this->TickLag.onTick(Late, Now);
+    this->Metrics.histogram("tick_late_ms")
+        .add(std::max(Late, base::Duration::zero()));
     this->Lease.setBehind(this->TickLag.isBehind(Now));
     if (Late < this->Settings.StopThreshold)
       return;
--- a/src/dispatch/internal/usageadmission.cpp
+++ b/src/dispatch/internal/usageadmission.cpp
@@ -21,6 +21,33 @@
 
 } // namespace
 
+std::string_view creditShortageName(CreditShortage Why) {
+  switch (Why) {
+  case CreditShortage::Exhausted:
+    return "exhausted";
+  case CreditShortage::Unanswered:
+    return "unanswered";
+  case CreditShortage::Isolated:
+    return "isolated";
+  }
+  return "";
+}
+
+CreditStanding UsageAdmission::standing(const base::AccountId &Account,
+                                        base::TimePoint Now) const {
+  CreditStanding Out;
+  Out.Held = this->Book.held(admission::accountTokens(Account));
+  Out.SinceContact = Now - this->ContactAt;
+  auto Last = this->LastAnswers.find(Account);
+  if (Last != this->LastAnswers.end())
+    Out.SinceGrant = Now - Last->second.At;
+  if (this->isIsolated(Now))
+    Out.Why = CreditShortage::Isolated;
+  else if (Last != this->LastAnswers.end() && Last->second.WasRefused)
+    Out.Why = CreditShortage::Exhausted;
+  return Out;
+}
+
 bool UsageAdmission::isIsolated(base::TimePoint Now) const {
   return Now > this->ContactAt + this->Settings.IsolatedAfter;
 }
@@ -146,6 +173,8 @@
   this->Book.keepFor(Quantity, Grant.KeepFor, Until);
   LastAnswer &Last = this->LastAnswers[Account];
   Last.IsAmple = Grant.KeepFor.count() > 0;
+  Last.WasRefused = Grant.RetryAfter.count() > 0;
+  Last.At = Now;
   if (!Last.IsAmple)
     this->Book.setReserve(Quantity, 0);
 }
--- a/src/dispatch/tests/usagetest.cpp
+++ b/src/dispatch/tests/usagetest.cpp
@@ -468,3 +468,32 @@
   }
   RC_ASSERT(All.MaxInWindow <= Limit * 1.1 + 7000);
 }
+
+/// Tells an account at its limit from a holder that does not answer.
+TEST(UsageTest, ARefusalTellsWhyCreditIsMissing) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  catalog::Account Account;
+  Account.Id = {"account"};
+  Account.RatePerSecond = Rate;
+  Account.Burst = Burst;
+  UsageAdmission Admission{UsageAdmissionSettings{}};
+  Admission.onContact(Now);
+  Admission.add(Account, {{"r"}, Account.Id, {900}, Now + milliseconds(300)},
+                Now);
+  Admission.tick(Now);
+  auto Asked =
+      std::get<admission::AskCredit>(Admission.takeCommands(Now).at(0));
+  EXPECT_EQ(Asked.Needed, 900);
+  Now += milliseconds(300);
+  EXPECT_EQ(Admission.standing(Account.Id, Now).Why,
+            CreditShortage::Unanswered);
+  EXPECT_FALSE(Admission.standing(Account.Id, Now).SinceGrant);
+  Admission.onContact(Now);
+  Admission.onCredit(Account.Id, {0, milliseconds(800)}, Asked.Request, Now);
+  Now += milliseconds(20);
+  CreditStanding Refused = Admission.standing(Account.Id, Now);
+  EXPECT_EQ(Refused.Why, CreditShortage::Exhausted);
+  EXPECT_EQ(Refused.SinceGrant, milliseconds(20));
+  Now += milliseconds(500);
+  EXPECT_EQ(Admission.standing(Account.Id, Now).Why, CreditShortage::Isolated);
+}
--- a/src/dispatch/usageadmission.h
+++ b/src/dispatch/usageadmission.h
@@ -24,6 +24,8 @@
 #include "dispatch/usagepool.h"
 
 #include <map>
+#include <optional>
+#include <string_view>
 #include <vector>
 
 namespace kingcuphub::dispatch {
@@ -50,6 +52,28 @@
   std::chrono::milliseconds CarryOverFor{1000};
 };
 
+/// Why an instance lacks credit of an account.
+enum class CreditShortage {
+  /// The holder has refused: the account is at its limit.
+  Exhausted,
+  /// The holder has not answered yet.
+  Unanswered,
+  /// The holder has answered nothing at all for a while.
+  Isolated,
+};
+
+/// As in a log line.
+std::string_view creditShortageName(CreditShortage Why);
+
+struct CreditStanding {
+  CreditShortage Why = CreditShortage::Unanswered;
+  std::int64_t Held = 0;
+  /// Time since the holder's last answer on the account, if there was one, and
+  /// since its last answer of any kind.
+  std::optional<base::Duration> SinceGrant;
+  base::Duration SinceContact{0};
+};
+
 class UsageAdmission {
 public:
   explicit UsageAdmission(UsageAdmissionSettings Settings)
@@ -81,6 +105,14 @@
   /// Credit to request from the holder and to return to it.
   std::vector<admission::CreditCommand> takeCommands(base::TimePoint Now);
   bool hasWaiting() const { return this->Waiting.size() > 0; }
+  /// What is known of an account whose request was refused; for the log.
+  CreditStanding standing(const base::AccountId &Account,
+                          base::TimePoint Now) const;
+  /// When the pending request for the account's credit was sent, if there is
+  /// one.
+  std::optional<base::TimePoint> askedAt(const base::AccountId &Account) const {
+    return this->Book.askedAt(admission::accountTokens(Account));
+  }
 
 private:
   /// What the holder's last answer said of an account.
@@ -89,6 +121,9 @@
     bool IsAmple = false;
     /// How much this instance may overdraw while the holder is late.
     std::int64_t Overdraft = 0;
+    /// Credit was refused, in part or entirely.
+    bool WasRefused = false;
+    base::TimePoint At;
   };
   struct LocalBucket {
     double Level = 0;
--- a/src/explain/internal/summary.cpp
+++ b/src/explain/internal/summary.cpp
@@ -31,6 +31,9 @@
 std::string endOf(const Step &Ended) {
   std::string Outcome = fieldOf(Ended, "outcome");
   std::string Reason = fieldOf(Ended, "reason");
+  // Tells the causes of a refusal for the account's limit apart.
+  if (std::string Credit = fieldOf(Ended, "credit"); !Credit.empty())
+    Reason += " " + Credit;
   return Reason.empty() ? Outcome : Outcome + " " + Reason;
 }
 
@@ -106,6 +109,8 @@
       if (End == Answered)
         this->FirstBytes[Route].push_back(numberOf(Line, "first_byte_ms"));
     }
+    if (std::string Account = fieldOf(Line, "account"); !Account.empty())
+      ++this->Out.Accounts[Account][End];
     if (fieldOf(Line, "model").empty())
       return;
     Item &Of = this->Items[itemOf(Line)];
@@ -163,6 +168,10 @@
         << " ms, a tenth later than " << Each.FirstByteTenthWorst << " ms\n";
     writeOutcomes(Out, Each.Ends);
   }
+  for (const auto &[Name, Ends] : What.Accounts) {
+    Out << "account " << Name << "\n";
+    writeOutcomes(Out, Ends);
+  }
   Out << "orders " << What.Orders << ", answered after " << What.OrderMedian
       << " ms at the median, " << What.OrderWorst << " ms at most\n";
   Out << "asked for through the time: " << What.ItemsAsked
@@ -198,6 +207,7 @@
   return {{"requests", What.Requests},
           {"ends", What.Ends},
           {"routes", Routes},
+          {"accounts", What.Accounts},
           {"seconds", Seconds},
           {"items_asked", What.ItemsAsked},
           {"items_never_answered", Unserved},
--- a/src/explain/summary.h
+++ b/src/explain/summary.h
@@ -3,7 +3,8 @@
 
 /// \file
 /// What became of all requests in the instances' logs: by reason, by route, by
-/// second, and the models and adapters that were asked for and never answered.
+/// client account, by second, and the models and adapters that were asked for
+/// and never answered.
 
 #include <cstddef>
 #include <cstdint>
@@ -44,6 +45,7 @@
   std::size_t Requests = 0;
   Outcomes Ends;
   std::map<std::string, RouteSummary> Routes;
+  std::map<std::string, Outcomes> Accounts;
   /// By seconds since the first request ended.
   std::map<std::int64_t, Outcomes> Seconds;
   std::size_t ItemsAsked = 0;
--- a/src/explain/tests/summarytest.cpp
+++ b/src/explain/tests/summarytest.cpp
@@ -59,3 +59,20 @@
   EXPECT_EQ(Out.ItemsAsked, 0U);
   EXPECT_TRUE(Out.Unserved.empty());
 }
+
+/// An account at its limit looks unlike one whose credit comes late.
+TEST(SummaryTest, RefusalsAreCountedByAccountAndByWhyCreditIsMissing) {
+  std::istringstream Logs(
+      ended(1000, Served + R"(,"account":"small")") +
+      ended(1100, Refused + R"(,"account":"small","credit":"unanswered")") +
+      ended(1200, Refused + R"(,"account":"hot","credit":"exhausted")"));
+  Summary Out = summarize(Logs, {});
+  EXPECT_EQ(Out.Accounts.at("small").at("answered"), 1U);
+  EXPECT_EQ(Out.Accounts.at("small").at("refused account-limit unanswered"),
+            1U);
+  EXPECT_EQ(Out.Accounts.at("hot").at("refused account-limit exhausted"), 1U);
+  EXPECT_NE(
+      describe(Out).find("account hot\n  refused account-limit exhausted"),
+      std::string::npos);
+  EXPECT_EQ(toJson(Out)["accounts"]["small"]["answered"], 1);
+}
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -251,6 +251,7 @@
 }
 
 void Exchange::tokensRefused(std::chrono::milliseconds RetryAfter) {
+  this->Credit = this->Context.Usage.standing(this->Account->Id, this->now());
   this->refuse(TooManyRequests, "account-limit", RetryAfter);
 }
 
@@ -986,6 +987,13 @@
   }
   if (this->Account != nullptr)
     Fields["account"] = this->Account->Id.Value;
+  if (this->Credit) {
+    Fields["credit"] = dispatch::creditShortageName(this->Credit->Why);
+    Fields["credit_held"] = this->Credit->Held;
+    Fields["holder_ms_ago"] = base::millisOf(this->Credit->SinceContact);
+    if (this->Credit->SinceGrant)
+      Fields["grant_ms_ago"] = base::millisOf(*this->Credit->SinceGrant);
+  }
   if (!this->Facts.Model.empty())
     Fields["model"] = this->Facts.Model.Value;
   if (!this->Facts.Adapter.empty())
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -151,6 +151,8 @@
   const catalog::Account *Account = nullptr;
   catalog::ServiceId Service;
   bool UsageTaken = false;
+  /// Set if the request was refused for its account's limit.
+  std::optional<dispatch::CreditStanding> Credit;
 
   bool InQueue = false;
   dispatch::WaitFor WaitsFor = dispatch::WaitFor::Capacity;
