A change in what one engine holds copies no others' models

Cause: with each published change, up to seventy a second, every instance copied the models and adapters of all engines, compared all of them with those before, and freed those. The cost grows with instances, engines, models an engine and the rate of changes.

Evidence: the profile handed over with the issue has a quarter of an instance's time in onReply() and a fifth in setHeld(), half of it malloc and free. AChangeOfOneTargetCopiesNoOthers counts the states that are new after a change of one target of 117; on the code before, which has no shared states, it does not compile.

Why it works: each engine's state is an immutable object that is replaced only where it changed, and states that are the same object are not compared. What is left for each change and instance is a copy of a map of pointers.

--- a/src/catalog/target.h
+++ b/src/catalog/target.h
@@ -39,7 +39,11 @@
   bool operator==(const HeldState &) const = default;
 };
 using HeldStates = std::map<base::TargetId, HeldState>;
-using HeldStatesPtr = std::shared_ptr<const HeldStates>;
+/// States are replaced and never modified, so that the maps of successive
+/// revisions share those of the targets that have not changed.
+using HeldStatePtr = std::shared_ptr<const HeldState>;
+using SharedHeldStates = std::map<base::TargetId, HeldStatePtr>;
+using SharedHeldStatesPtr = std::shared_ptr<const SharedHeldStates>;
 
 /// One heartbeat of a target.
 struct TargetEntry {
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -516,8 +516,8 @@
     this->applyCatalogProof(Reply);
     this->updateListedAge(Reply);
     if (Reply.held_included() && this->Held.apply(readHeld(Reply)))
-      this->HeldSnapshot =
-          std::make_shared<const catalog::HeldStates>(this->Held.values());
+      this->HeldSnapshot = std::make_shared<const catalog::SharedHeldStates>(
+          this->Held.values());
     if (Reply.held_revision() == this->Held.revision())
       this->Traffic.setHeld(this->HeldSnapshot, readLoading(Reply, Now),
                             Now + this->Settings.HeldValidFor);
@@ -562,7 +562,8 @@
   std::uint64_t HeldToken = 0;
   HeldReceiver Held;
   /// A copy of the values of Held that the traffic side may keep.
-  catalog::HeldStatesPtr HeldSnapshot = std::make_shared<catalog::HeldStates>();
+  catalog::SharedHeldStatesPtr HeldSnapshot =
+      std::make_shared<const catalog::SharedHeldStates>();
   ListedReceiver Listed;
   SuspectsReceiver Suspects;
   base::TimePoint ListedAt;
--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -221,14 +221,15 @@
   return Out;
 }
 
-HeldDelta readHeld(const wire::HolderReply &From) {
-  HeldDelta Out{From.held_base(), From.held_revision(), {}};
+ReceivedHeldDelta readHeld(const wire::HolderReply &From) {
+  ReceivedHeldDelta Out{From.held_base(), From.held_revision(), {}};
   for (const wire::HeldTarget &Each : From.held()) {
     auto &[Id, State] = Out.Changes.emplace_back();
     Id.Value = Each.target();
     if (Each.gone())
       continue;
-    State = catalog::HeldState{{Each.lifetime()}, readModels(Each.models())};
+    State = std::make_shared<const catalog::HeldState>(
+        catalog::HeldState{{Each.lifetime()}, readModels(Each.models())});
   }
   return Out;
 }
--- a/src/control/internal/linkmessages.h
+++ b/src/control/internal/linkmessages.h
@@ -15,8 +15,10 @@
 namespace kingcuphub::control {
 
 using HeldSource = DeltaSource<base::TargetId, catalog::HeldState>;
-using HeldReceiver = DeltaReceiver<base::TargetId, catalog::HeldState>;
 using HeldDelta = Delta<base::TargetId, catalog::HeldState>;
+/// The receiving side shares what it has received with the traffic side.
+using HeldReceiver = DeltaReceiver<base::TargetId, catalog::HeldStatePtr>;
+using ReceivedHeldDelta = Delta<base::TargetId, catalog::HeldStatePtr>;
 
 /// A target as the holder publishes it. Two targets are equal unless receivers
 /// would act differently: a heartbeat alone is no change, nor is jitter in a
@@ -48,7 +50,7 @@
                                               base::TimePoint Now);
 
 void writeHeld(const HeldDelta &Update, wire::HolderReply &To);
-HeldDelta readHeld(const wire::HolderReply &From);
+ReceivedHeldDelta readHeld(const wire::HolderReply &From);
 
 void writeListed(const ListedDelta &Update, base::TimePoint Now,
                  wire::HolderReply &To);
--- a/src/control/tests/linkmessagestest.cpp
+++ b/src/control/tests/linkmessagestest.cpp
@@ -123,3 +123,28 @@
   EXPECT_EQ(Read.Served[0].At, Start - milliseconds(200));
   EXPECT_EQ(Read.Refused, Evidence.Refused);
 }
+
+/// Adapters come and go on a hundred targets many times a second, and every
+/// instance applies each change.
+TEST(LinkMessagesTest, AChangeOfOneTargetCopiesNoOthers) {
+  constexpr int Targets = 117;
+  HeldSource::Values All;
+  for (int Index = 0; Index < Targets; ++Index)
+    All[{std::to_string(Index)}].Models[{"m"}].Adapters = {{"a1"}, {"a2"}};
+  HeldSource Source;
+  HeldReceiver Receiver;
+  auto Publish = [&] {
+    Source.update(All);
+    wire::HolderReply Message;
+    writeHeld(Source.since(Receiver.revision()), Message);
+    ASSERT_TRUE(Receiver.apply(readHeld(Message)));
+  };
+  Publish();
+  catalog::SharedHeldStates Before = Receiver.values();
+  ASSERT_EQ(Before.size(), static_cast<std::size_t>(Targets));
+  All[{"7"}].Models[{"m"}].Adapters.insert({"a3"});
+  Publish();
+  for (const auto &[Id, State] : Receiver.values())
+    EXPECT_EQ(State == Before.at(Id), Id.Value != "7") << Id.Value;
+  EXPECT_EQ(*Receiver.values().at({"7"}), All[{"7"}]);
+}
--- a/src/control/trafficport.h
+++ b/src/control/trafficport.h
@@ -22,7 +22,7 @@
   virtual void setTargets(catalog::TargetListPtr New) = 0;
   virtual void setInstances(unsigned Count) = 0;
   virtual void
-  setHeld(catalog::HeldStatesPtr Held,
+  setHeld(catalog::SharedHeldStatesPtr Held,
           std::map<dispatch::ServiceModel, base::TimePoint> Loading,
           base::TimePoint Until) = 0;
   virtual void setSuspects(dispatch::SuspectParts New) = 0;
--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -95,7 +95,7 @@
   return Same ? &Found->second : nullptr;
 }
 
-bool TargetSelector::setHeld(catalog::HeldStatesPtr New,
+bool TargetSelector::setHeld(catalog::SharedHeldStatesPtr New,
                              base::TimePoint Until) {
   this->HeldUntil = Until;
   // Most updates only extend the validity of what is known.
@@ -108,7 +108,9 @@
         this->heldStateOf(this->Held, Id, TargetState.Lifetime);
     const catalog::HeldState *Now =
         this->heldStateOf(New, Id, TargetState.Lifetime);
-    if (Now != nullptr && (Before == nullptr || Before->Models != Now->Models))
+    bool Changed = Now != Before && Now != nullptr &&
+                   (Before == nullptr || Before->Models != Now->Models);
+    if (Changed)
       TargetState.Lacking.clear();
   }
   this->Held = std::move(New);
@@ -116,14 +118,14 @@
 }
 
 const catalog::HeldState *
-TargetSelector::heldStateOf(const catalog::HeldStatesPtr &All,
+TargetSelector::heldStateOf(const catalog::SharedHeldStatesPtr &All,
                             const base::TargetId &Id,
                             catalog::Lifetime Lifetime) const {
   if (!All)
     return nullptr;
   auto Found = All->find(Id);
-  bool Same = Found != All->end() && Found->second.Lifetime == Lifetime;
-  return Same ? &Found->second : nullptr;
+  bool Same = Found != All->end() && Found->second->Lifetime == Lifetime;
+  return Same ? Found->second.get() : nullptr;
 }
 
 void TargetSelector::setLoading(
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -114,7 +114,7 @@
   void setInstances(unsigned Count) { this->Cold.setInstances(Count); }
   /// Sets what the targets hold according to the lease holder, valid until
   /// \p Until. Returns whether it has changed.
-  bool setHeld(catalog::HeldStatesPtr New, base::TimePoint Until);
+  bool setHeld(catalog::SharedHeldStatesPtr New, base::TimePoint Until);
 
   /// Sets when models will be loaded according to the lease holder.
   void setLoading(std::map<ServiceModel, base::TimePoint> NewLoading);
@@ -187,7 +187,7 @@
              const TargetQuery &Query, base::TimePoint Now) const;
   /// What the target holds in lifetime \p Lifetime according to the lease
   /// holder; null if the holder has stated nothing about it.
-  const catalog::HeldState *heldStateOf(const catalog::HeldStatesPtr &All,
+  const catalog::HeldState *heldStateOf(const catalog::SharedHeldStatesPtr &All,
                                         const base::TargetId &Id,
                                         catalog::Lifetime Lifetime) const;
   const catalog::Service *serviceOf(const catalog::Target &Target) const;
@@ -210,7 +210,7 @@
   ColdLimit Cold;
   routing::PrefixHints Hints;
   std::map<base::TargetId, State> States;
-  catalog::HeldStatesPtr Held;
+  catalog::SharedHeldStatesPtr Held;
   base::TimePoint HeldUntil;
   std::map<base::TargetId, SelfReport> SelfReports;
   std::map<ServiceModel, base::TimePoint> Loading;
--- a/src/dispatch/tests/targetselectortest.cpp
+++ b/src/dispatch/tests/targetselectortest.cpp
@@ -53,9 +53,9 @@
   /// Updates what the lease holder states about one target.
   void setHeldState(const char *Id, const catalog::HeldState &Held,
                     base::TimePoint Until) {
-    this->States[{Id}] = Held;
+    this->States[{Id}] = std::make_shared<const catalog::HeldState>(Held);
     this->Selector.setHeld(
-        std::make_shared<const catalog::HeldStates>(this->States), Until);
+        std::make_shared<const catalog::SharedHeldStates>(this->States), Until);
   }
 
   static TargetSelectorSettings settings() {
@@ -67,7 +67,7 @@
 
   TargetSelector Selector{settings()};
   catalog::TargetList List;
-  catalog::HeldStates States;
+  catalog::SharedHeldStates States;
   TargetQuery Query;
 };
 
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -101,7 +101,8 @@
   virtual void setCatalogProven(base::TimePoint At) = 0;
   virtual void setTargets(catalog::TargetListPtr New) = 0;
   virtual void setInstances(unsigned Count) = 0;
-  virtual void setHeld(catalog::HeldStatesPtr Held, base::TimePoint Until) = 0;
+  virtual void setHeld(catalog::SharedHeldStatesPtr Held,
+                       base::TimePoint Until) = 0;
   virtual void
   setLoading(std::map<dispatch::ServiceModel, base::TimePoint> Loading) = 0;
   /// Sets which parts of prompts may crash targets according to the lease
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -115,7 +115,8 @@
     this->Context.Usage.setInstances(Count);
   }
 
-  void setHeld(catalog::HeldStatesPtr Held, base::TimePoint Until) override {
+  void setHeld(catalog::SharedHeldStatesPtr Held,
+               base::TimePoint Until) override {
     if (this->Context.Selector.setHeld(std::move(Held), Until))
       this->serveQueue();
   }
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -119,7 +119,7 @@
 }
 
 void TrafficThread::setHeld(
-    catalog::HeldStatesPtr Held,
+    catalog::SharedHeldStatesPtr Held,
     std::map<dispatch::ServiceModel, base::TimePoint> Loading,
     base::TimePoint Until) {
   asio::post(this->Loop, [this, Held = std::move(Held),
--- a/src/instance/internal/trafficthread.h
+++ b/src/instance/internal/trafficthread.h
@@ -38,7 +38,7 @@
   void setCatalogProven(base::TimePoint At) override;
   void setTargets(catalog::TargetListPtr New) override;
   void setInstances(unsigned Count) override;
-  void setHeld(catalog::HeldStatesPtr Held,
+  void setHeld(catalog::SharedHeldStatesPtr Held,
                std::map<dispatch::ServiceModel, base::TimePoint> Loading,
                base::TimePoint Until) override;
   void setSuspects(dispatch::SuspectParts New) override;
