Credit that is kept, overdrawn or used while isolated is always counted

- What was needed when it was asked for was counted when granted, and could be kept for seconds if its request was gone: it is returned at once.
- Isolated use was not counted from one second on, though a holder that stood still itself reserves nothing: it is counted, up to the isolated part.
- A late answer to an earlier request was dated by the later one.
- An overdraft rested on an answer of any age: of the window's at most.
- Near the limit, idle credit stayed for up to four seconds instead of 300 ms.
- A short stall replaced a longer one that was not over.

--- a/src/admission/creditbook.h
+++ b/src/admission/creditbook.h
@@ -81,29 +81,29 @@
   void setOverdraft(const base::QuantityId &Quantity, std::int64_t Amount);
 
   /// Sets for how long credit is kept in advance of its use, as granted with
-  /// the last answer; zero if it is to be returned once idle. What is held now
-  /// and not used by \p Until is returned.
+  /// the last answer; zero if it is to be returned once idle. Of what is held
+  /// now, the part that was asked for in advance is returned if it is not used
+  /// by \p Until, and the rest if no waiting request needs it.
   void keepFor(const base::QuantityId &Quantity, std::chrono::milliseconds Time,
-               base::TimePoint Until);
-
-  /// Drops all credit and pending requests, for when the grantor no longer
-  /// grants credit. Negative balances stay.
-  void forgetCredit();
+               base::TimePoint Until, base::TimePoint Now);
 
   /// Credit that is kept although the grantor has changed.
   struct CarriedCredit {
     base::QuantityId Quantity;
     std::int64_t Amount = 0;
   };
-  /// Drops pending requests and overdrafts, for when another grantor takes over
-  /// that is told of all uses so far and of the returned credit, which is kept
-  /// until \p Until at the latest.
+  /// Drops pending requests and negative balances, for when another grantor
+  /// takes over that is told of all uses so far and of the returned credit,
+  /// which is kept until \p Until at the latest.
   std::vector<CarriedCredit> carryOver(base::TimePoint Until);
 
-  /// Processes the agent's answer to a request for credit.
-  void credited(const base::QuantityId &Quantity, std::int64_t Amount,
-                std::uint64_t Request, std::chrono::milliseconds RetryAfter,
-                base::TimePoint Now);
+  /// Processes the agent's answer to a request for credit. Returns when that
+  /// was sent, if it is the pending one.
+  std::optional<base::TimePoint> credited(const base::QuantityId &Quantity,
+                                          std::int64_t Amount,
+                                          std::uint64_t Request,
+                                          std::chrono::milliseconds RetryAfter,
+                                          base::TimePoint Now);
 
   /// Returns the commands to send to the agent now.
   std::vector<CreditCommand> tick(base::TimePoint Now);
@@ -137,6 +137,7 @@
     /// The amount of the last request for credit, and how much of it the agent
     /// refused.
     std::int64_t Asked = 0;
+    std::int64_t AskedAhead = 0;
     std::int64_t Refused = 0;
     base::TimePoint AskedAt{};
     base::TimePoint RetryAt{};
--- a/src/admission/internal/creditbook.cpp
+++ b/src/admission/internal/creditbook.cpp
@@ -59,15 +59,20 @@
 }
 
 void CreditBook::keepFor(const base::QuantityId &Quantity,
-                         std::chrono::milliseconds Time,
-                         base::TimePoint Until) {
+                         std::chrono::milliseconds Time, base::TimePoint Until,
+                         base::TimePoint Now) {
   Holding &Each = this->Holdings[Quantity];
   Each.KeepFor = Time;
   std::int64_t Undated = Each.Balance;
   for (const DatedCredit &Known : Each.Dated)
     Undated -= Known.Amount;
-  if (Time.count() > 0 && Undated > 0)
-    Each.Dated.push_back({Undated, Until});
+  if (Time.count() == 0 || Undated <= 0)
+    return;
+  std::int64_t Ahead = std::min(Undated, Each.AskedAhead);
+  if (Undated > Ahead)
+    Each.Dated.push_front({Undated - Ahead, Now});
+  if (Ahead > 0)
+    Each.Dated.push_back({Ahead, Until});
 }
 
 std::vector<CreditBook::CarriedCredit>
@@ -87,28 +92,20 @@
   return Out;
 }
 
-void CreditBook::forgetCredit() {
-  for (auto &[Quantity, Each] : this->Holdings) {
-    Each.Dated.clear();
-    Each.Balance = std::min<std::int64_t>(Each.Balance, 0);
-    Each.PendingRequest = 0;
-    Each.Refused = 0;
-    Each.RetryAt = {};
-  }
-}
-
-void CreditBook::credited(const base::QuantityId &Quantity, std::int64_t Amount,
-                          std::uint64_t Request,
-                          std::chrono::milliseconds RetryAfter,
-                          base::TimePoint Now) {
+std::optional<base::TimePoint>
+CreditBook::credited(const base::QuantityId &Quantity, std::int64_t Amount,
+                     std::uint64_t Request,
+                     std::chrono::milliseconds RetryAfter,
+                     base::TimePoint Now) {
   Holding &Each = this->Holdings[Quantity];
   Each.Balance += std::max<std::int64_t>(Amount, 0);
   if (Request != Each.PendingRequest)
-    return;
+    return std::nullopt;
   Each.PendingRequest = 0;
   bool Insufficient = RetryAfter.count() > 0;
   Each.RetryAt = Insufficient ? Now + RetryAfter : base::TimePoint{};
   Each.Refused = Insufficient ? Each.Asked - Amount : 0;
+  return Each.AskedAt;
 }
 
 std::vector<CreditCommand> CreditBook::tick(base::TimePoint Now) {
@@ -141,6 +138,7 @@
       Each.Asked = Shortfall;
       std::int64_t Needed =
           std::max<std::int64_t>(Each.Wanted - Each.Balance, 0);
+      Each.AskedAhead = Shortfall - Needed;
       Out.push_back(
           AskCredit{Quantity, Shortfall, Each.PendingRequest, Needed});
     }
@@ -150,7 +148,8 @@
 
 std::int64_t CreditBook::takeUnneeded(Holding &Each, std::int64_t Ahead,
                                       bool Recent, base::TimePoint Now) const {
-  bool Idle = Each.Wanted == 0 && Ahead == 0 && Each.Balance > 0 && !Recent;
+  bool MayKeep = Ahead > 0 && Each.KeepFor.count() > 0;
+  bool Idle = Each.Wanted == 0 && !MayKeep && Each.Balance > 0 && !Recent;
   if (Idle) {
     Each.Dated.clear();
     return std::exchange(Each.Balance, 0);
--- a/src/dispatch/internal/usageadmission.cpp
+++ b/src/dispatch/internal/usageadmission.cpp
@@ -43,7 +43,7 @@
     Out.SinceGrant = Now - Last->second.At;
   if (this->isIsolated(Now))
     Out.Why = CreditShortage::Isolated;
-  else if (Last != this->LastAnswers.end() && Last->second.WasRefused)
+  else if (Last != this->LastAnswers.end() && Now < Last->second.RefusedUntil)
     Out.Why = CreditShortage::Exhausted;
   return Out;
 }
@@ -62,7 +62,9 @@
 void UsageAdmission::updateOverdrafts(base::TimePoint Now) {
   for (const auto &[Account, Last] : this->LastAnswers) {
     base::QuantityId Quantity = admission::accountTokens(Account);
-    bool MayOverdraw = Last.IsAmple && this->isHolderLate(Quantity, Now);
+    bool IsKnown = Now < Last.At + this->Settings.Window;
+    bool MayOverdraw =
+        Last.IsAmple && IsKnown && this->isHolderLate(Quantity, Now);
     this->Book.setOverdraft(Quantity, MayOverdraw ? Last.Overdraft : 0);
   }
 }
@@ -92,9 +94,12 @@
   if (Bucket.Level < std::min(Cost, Capacity))
     return false;
   Bucket.Level -= static_cast<double>(Amount);
-  // The holder reserves the isolated part for instances that count as silent.
-  if (Now < this->ContactAt + SilentAfter)
-    this->Book.putBack(admission::accountTokens(Account.Id), -Amount);
+  // The holder is asked for it afterwards, for no more than it reserved.
+  base::QuantityId Quantity = admission::accountTokens(Account.Id);
+  auto Reserved = static_cast<std::int64_t>(
+      Fraction * limitOver(Account, this->Settings.Window));
+  if (this->Book.held(Quantity) > -Reserved)
+    this->Book.putBack(Quantity, -Amount);
   return true;
 }
 
@@ -118,7 +123,7 @@
   if (!this->isIsolated(Now) || this->Book.held(Quantity) >= Wait.Cost.Value) {
     this->Waiting.add(toStateAccount(Account), Wait, Now);
     if (IsAmple)
-      this->Book.setReserve(Quantity, 1 * Wait.Cost.Value);
+      this->Book.setReserve(Quantity, Wait.Cost.Value);
     return;
   }
   this->updateOverdrafts(Now);
@@ -162,21 +167,23 @@
   return Out;
 }
 
-void UsageAdmission::onCredit(const base::AccountId &Account,
-                              const CreditGrant &Grant, std::uint64_t Request,
-                              base::TimePoint Now) {
+std::optional<base::Duration>
+UsageAdmission::onCredit(const base::AccountId &Account,
+                         const CreditGrant &Grant, std::uint64_t Request,
+                         base::TimePoint Now) {
   base::QuantityId Quantity = admission::accountTokens(Account);
+  auto AskedAt = this->Book.credited(Quantity, Grant.Amount, Request,
+                                     Grant.RetryAfter, Now);
   // Counts from the request, as the holder counts from its answer.
-  base::TimePoint Until =
-      this->Book.askedAt(Quantity).value_or(Now) + Grant.KeepFor;
-  this->Book.credited(Quantity, Grant.Amount, Request, Grant.RetryAfter, Now);
-  this->Book.keepFor(Quantity, Grant.KeepFor, Until);
+  this->Book.keepFor(Quantity, Grant.KeepFor,
+                     AskedAt ? *AskedAt + Grant.KeepFor : Now, Now);
   LastAnswer &Last = this->LastAnswers[Account];
   Last.IsAmple = Grant.KeepFor.count() > 0;
-  Last.WasRefused = Grant.RetryAfter.count() > 0;
+  Last.RefusedUntil = Now + Grant.RetryAfter;
   Last.At = Now;
   if (!Last.IsAmple)
     this->Book.setReserve(Quantity, 0);
+  return AskedAt ? std::optional(Now - *AskedAt) : std::nullopt;
 }
 
 std::vector<admission::TokenOutcome> UsageAdmission::tick(base::TimePoint Now) {
--- a/src/dispatch/internal/usagepool.cpp
+++ b/src/dispatch/internal/usagepool.cpp
@@ -26,7 +26,8 @@
 
 void UsagePool::tick(base::TimePoint Now) {
   base::Duration Gap = Now - std::exchange(this->TickedAt, Now);
-  if (Gap < this->Settings.StallThreshold)
+  if (Gap < std::max<base::Duration>(this->Settings.StallThreshold,
+                                     this->recentStall(Now)))
     return;
   this->Stall = Gap;
   this->StallEnd = Now;
--- a/src/dispatch/usageadmission.h
+++ b/src/dispatch/usageadmission.h
@@ -36,6 +36,7 @@
   base::Duration IsolatedAfter = std::chrono::milliseconds(400);
   /// The time span over which limits apply; set by the deployment.
   base::Duration Window = std::chrono::seconds(8);
+  /// What was used in the last seconds is held in advance, if that is allowed.
   /// Credit requests time out late, so that they are repeated only if the
   /// answer is lost: if it is merely late, the repetition is granted as well.
   /// Idle credit is returned early, as other instances can use it.
@@ -93,8 +94,11 @@
   /// Returns the tokens of a request that has certainly not run.
   void putBack(const catalog::Account &Account, std::int64_t Amount,
                base::TimePoint Now);
-  void onCredit(const base::AccountId &Account, const CreditGrant &Grant,
-                std::uint64_t Request, base::TimePoint Now);
+  /// Returns how long the answer has taken, unless a later request is pending.
+  std::optional<base::Duration> onCredit(const base::AccountId &Account,
+                                         const CreditGrant &Grant,
+                                         std::uint64_t Request,
+                                         base::TimePoint Now);
   /// The lease has a new holder. Returns what was admitted within the window,
   /// and the credit that is kept until the new holder grants some.
   std::vector<UsedAmount> onNewHolder(base::TimePoint Now);
@@ -108,11 +112,6 @@
   /// What is known of an account whose request was refused; for the log.
   CreditStanding standing(const base::AccountId &Account,
                           base::TimePoint Now) const;
-  /// When the pending request for the account's credit was sent, if there is
-  /// one.
-  std::optional<base::TimePoint> askedAt(const base::AccountId &Account) const {
-    return this->Book.askedAt(admission::accountTokens(Account));
-  }
 
 private:
   /// What the holder's last answer said of an account.
@@ -121,8 +120,8 @@
     bool IsAmple = false;
     /// How much this instance may overdraw while the holder is late.
     std::int64_t Overdraft = 0;
-    /// Credit was refused, in part or entirely.
-    bool WasRefused = false;
+    /// Until when credit was refused, in part or entirely.
+    base::TimePoint RefusedUntil;
     base::TimePoint At;
   };
   struct LocalBucket {
--- a/src/dispatch/usagepool.h
+++ b/src/dispatch/usagepool.h
@@ -118,8 +118,8 @@
 
 private:
   struct Granted {
-    /// The latest time at which it may be used; for amounts that waiting
-    /// requests need, when they were granted.
+    /// When it was granted, or the latest time at which it may be used if it
+    /// may be kept.
     base::TimePoint At;
     double Amount = 0;
   };
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -144,11 +144,10 @@
   void onCredits(const std::vector<CreditAnswer> &Answers) override {
     base::TimePoint Now = this->Context.Clock.now();
     this->Context.Usage.onContact(Now);
-    for (const CreditAnswer &Each : Answers) {
-      if (auto AskedAt = this->Context.Usage.askedAt(Each.Account))
-        this->Context.Metrics.histogram("credit_ms").add(Now - *AskedAt);
-      this->Context.Usage.onCredit(Each.Account, Each.Grant, Each.Request, Now);
-    }
+    for (const CreditAnswer &Each : Answers)
+      if (auto Took = this->Context.Usage.onCredit(Each.Account, Each.Grant,
+                                                   Each.Request, Now))
+        this->Context.Metrics.histogram("credit_ms").add(*Took);
     this->admit();
   }
 
