Engines that start again settle no orders, and a late renewal keeps the pools

The test ANewLifetimeOfAnEngineHasNoLateOrders asserted the belief; it is replaced by AnEngineThatStartsAgainSettlesNothing, which demands the whole wait. The ledger needs no lifetimes for its decisions any more.

Pools start with a new token only. Credit of an earlier holder that is returned to the next one is not counted there, and a holder that has just stood still notices it before it handles what has arrived.

Tried and taken back: to list orders that were given up at once, like those of broken connections.

--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -79,7 +79,9 @@
   this->updateSuspects();
   if (this->Targets)
     this->publishListed(*this->Targets);
-  this->Usage.start(Now);
+  // A lapsed lease that is renewed late goes on with what was granted.
+  if (std::exchange(this->UsageToken, Held) != Held)
+    this->Usage.start(Now);
 }
 
 void HolderRole::logGained(residency::FencingToken New,
@@ -130,7 +132,8 @@
     return false;
   return std::any_of(
       this->Instances.begin(), this->Instances.end(), [&](const auto &Each) {
-        return Now < Each.second.HeardAt + dispatch::SilentAfter &&
+        return Now < Each.second.HeardAt + dispatch::SilentAfter +
+                         this->Usage.recentStall(Now) &&
                residency::shouldYield(this->Settings.Lease.Handicap,
                                       Each.second.Handicap);
       });
@@ -234,8 +237,12 @@
     auto Found = this->Catalog->Accounts.find({Name});
     return Found == this->Catalog->Accounts.end() ? nullptr : &Found->second;
   };
+  this->Usage.tick(Now);
+  // What a previous holder has granted is not counted here.
+  bool IsOwnCredit = Report.held_token() == this->Token->Value;
   for (const wire::TokenReturn &Each : Report.token_returns())
-    if (const catalog::Account *Account = Find(Each.account()))
+    if (const catalog::Account *Account = Find(Each.account());
+        Account && IsOwnCredit)
       this->Usage.onReturn(*Account, Each.amount(), Now);
   for (const wire::TokenAsk &Each : Report.token_asks()) {
     const catalog::Account *Account = Find(Each.account());
@@ -277,8 +284,8 @@
   this->updateInstanceCounts(Begun);
   residency::OrderGate Gate{
       this->Lease.orderToken(Begun).has_value(),
-      [this, Begun](const base::TargetId &Engine, catalog::Lifetime Lifetime) {
-        return this->Lease.orderToken(Engine, Lifetime, Begun).has_value();
+      [this, Begun](const base::TargetId &Engine) {
+        return this->Lease.orderToken(Engine, Begun).has_value();
       }};
   for (const residency::HolderCommand &Each : this->Holder.tick(Begun, Gate))
     this->carryOut(Each);
@@ -434,8 +441,7 @@
 }
 
 bool HolderRole::mayOrder(const residency::Order &What) const {
-  return this->Lease.orderToken(What.Target, What.Lifetime,
-                                this->Clock.now()) == What.Token;
+  return this->Lease.orderToken(What.Target, this->Clock.now()) == What.Token;
 }
 
 void HolderRole::sendOrder(const residency::SendOrder &Command) {
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -104,6 +104,8 @@
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   residency::Holder Holder;
   dispatch::UsagePool Usage;
+  /// The token under which the pools were started.
+  std::optional<residency::FencingToken> UsageToken;
   catalog::CatalogPtr Catalog;
   catalog::TargetListPtr Targets;
   std::function<void(catalog::Version)> OnCatalogVersion;
--- a/src/residency/enginetracker.h
+++ b/src/residency/enginetracker.h
@@ -83,8 +83,7 @@
                                   base::TimePoint Now);
   void onAnswer(const Order &Sent, OrderAnswer Answer, base::TimePoint Now);
   /// Whether an engine may be given orders; any may if empty.
-  using Admission =
-      std::function<bool(const base::TargetId &, catalog::Lifetime)>;
+  using Admission = std::function<bool(const base::TargetId &)>;
 
   /// Unanswered orders that are due to be sent again, with the given token. An
   /// engine that has answered nothing since has not read the first one either.
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -45,6 +45,9 @@
 struct HolderLeaseSettings {
   std::chrono::milliseconds Duration{3000};
   std::chrono::milliseconds RenewEvery{1000};
+  /// Minimum time between records that are appended for a change of what the
+  /// next holder takes over.
+  std::chrono::milliseconds MinAppendGap{100};
   /// Allows for the drift between the clocks of two instances over a lease.
   std::chrono::milliseconds Drift{300};
   /// Minimum time from an instance's last order to an engine to its next one
@@ -158,7 +161,6 @@
   /// OrderTurn has passed, and while no order of another holder may arrive
   /// there.
   std::optional<FencingToken> orderToken(const base::TargetId &Engine,
-                                         catalog::Lifetime Lifetime,
                                          base::TimePoint Now) const;
   /// Time until this instance may order under its latest claim.
   std::chrono::milliseconds orderWait(base::TimePoint Now) const;
@@ -200,8 +202,8 @@
   /// Sets whether this instance is behind schedule; its claims are then
   /// delayed.
   void setBehind(bool NewBehind) { this->Behind = NewBehind; }
-  /// Sets what the next holder takes over. It is appended at once if it has
-  /// changed.
+  /// Sets what the next holder takes over. It is appended within MinAppendGap
+  /// if it has changed.
   void setState(std::string New);
   bool needsRead() const { return !this->End.has_value(); }
   const std::optional<LeaseRecord> &record() const { return this->Latest; }
--- a/src/residency/internal/enginetracker.cpp
+++ b/src/residency/internal/enginetracker.cpp
@@ -270,7 +270,7 @@
   for (auto &[Id, Each] : this->Engines) {
     bool Due = Each.Open && !Each.Open->InFlight && Each.Open->EngineHeard &&
                Now >= Each.Open->SentAt + this->Settings.ResendInterval &&
-               (!Admits || Admits(Id, Each.Lifetime));
+               (!Admits || Admits(Id));
     if (!Due)
       continue;
     Each.Open->InFlight = true;
@@ -341,7 +341,7 @@
     if (Listed == nullptr)
       continue;
     Out.push_back(this->view(Id, Each, *Listed, Now));
-    if (Admits && !Admits(Id, Each.Lifetime))
+    if (Admits && !Admits(Id))
       Out.back().AcceptsModelOrder = Out.back().AcceptsAdapterOrder = false;
   }
   return Out;
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -225,7 +225,6 @@
 void HolderLease::onOrderCut(const base::TargetId &Engine,
                              base::TimePoint Now) {
   this->Ledger.onCut(Engine, Now);
-  // A process that is killed can't list the order afterwards.
   this->StateAppended = false;
 }
 
@@ -246,8 +245,12 @@
       Now < *this->PendingSince + this->Settings.AppendTimeout)
     return std::nullopt;
   if (this->claimedHere()) {
-    bool Due = Now >= this->LastSentAt + this->Settings.RenewEvery;
-    if (this->Fenced || (!Due && this->StateAppended))
+    // What may still arrive is listed soon, as a process that is killed can't
+    // list it afterwards.
+    bool Due = Now >= this->LastSentAt + (this->StateAppended
+                                              ? this->Settings.RenewEvery
+                                              : this->Settings.MinAppendGap);
+    if (this->Fenced || !Due)
       return std::nullopt;
     return this->append(false, Instances, Now);
   }
@@ -264,6 +267,7 @@
 
 void HolderLease::onNotAppended(const LeaseAppend &Sent) {
   this->PendingSince.reset();
+  this->StateAppended = false;
   if (this->End && *this->End == Sent.At)
     this->End.reset();
 }
@@ -339,9 +343,9 @@
 
 std::optional<FencingToken>
 HolderLease::orderToken(const base::TargetId &Engine,
-                        catalog::Lifetime Lifetime, base::TimePoint Now) const {
-  return this->Ledger.mayOrder(Engine, Lifetime, Now) ? this->orderToken(Now)
-                                                      : std::nullopt;
+                        base::TimePoint Now) const {
+  return this->Ledger.mayOrder(Engine, Now) ? this->orderToken(Now)
+                                            : std::nullopt;
 }
 
 } // namespace kingcuphub::residency
--- a/src/residency/internal/orderledger.cpp
+++ b/src/residency/internal/orderledger.cpp
@@ -55,7 +55,7 @@
   Found->second.CutAt = Now;
 }
 
-base::TimePoint OrderLedger::settledBy(const OwnOrders &Entry) const {
+base::TimePoint OrderLedger::settledAtLatest(const OwnOrders &Entry) const {
   bool AllCut = Entry.Unsettled - Entry.UnderWay <= Entry.Cut;
   return (AllCut ? Entry.CutAt : Entry.LastSentAt) +
          this->Settings.MaxOrderDelay;
@@ -87,7 +87,6 @@
 }
 
 bool OrderLedger::mayOrder(const base::TargetId &Engine,
-                           catalog::Lifetime Lifetime,
                            base::TimePoint Now) const {
   if (auto Found = this->Own.find(Engine);
       Found != this->Own.end() && Found->second.Token != this->Claim) {
@@ -105,8 +104,7 @@
         base::TimePoint Until = Sender.Instance == this->Self.Instance
                                     ? this->turnAfter(Orders.Until)
                                     : Orders.Until;
-        // A new lifetime has none of the connections of the one before.
-        return Orders.Lifetime < Lifetime || Now >= Until;
+        return Now >= Until;
       });
 }
 
@@ -115,7 +113,7 @@
   for (const auto &[Engine, Each] : this->Own)
     if (Each.Unsettled > Each.UnderWay)
       Out.push_back({this->Self, Engine, Each.Lifetime,
-                     timeUntil(this->settledBy(Each), Now)});
+                     timeUntil(this->settledAtLatest(Each), Now)});
   return Out;
 }
 
--- a/src/residency/orderledger.h
+++ b/src/residency/orderledger.h
@@ -6,9 +6,10 @@
 /// ends when its sender has the answer or gives it up. It is settled once it
 /// can no longer arrive: with the answer, or when MaxOrderDelay has passed. An
 /// engine may carry an order out after its connection has broken, its sender
-/// has ended, and reports that were requested later have been answered. A turn
-/// is the minimum time between orders of one machine to one engine with orders
-/// of another machine in between. No I/O and no clock.
+/// has ended, reports that were requested later have been answered, and the
+/// engine has started again under its id. A turn is the minimum time between
+/// orders of one machine to one engine with orders of another machine in
+/// between. No I/O and no clock.
 
 #include "residency/types.h"
 
@@ -60,8 +61,8 @@
               base::TimePoint Now);
   void onEnded(const base::TargetId &Engine);
   void onSettled(const base::TargetId &Engine, base::TimePoint Now);
-  /// Handles that the connection of an order broke without an answer. prune()
-  /// settles the order.
+  /// Must be called in place of onSettled() if the connection of an order broke
+  /// without an answer. prune() settles the order.
   void onCut(const base::TargetId &Engine, base::TimePoint Now);
 
   /// Takes over what an earlier holder has left, as read at \p ReadAt.
@@ -78,8 +79,7 @@
   ///
   /// Load pattern: a busy machine, where engines read orders seconds after
   /// their senders have given them up, and the lease changes hands meanwhile.
-  bool mayOrder(const base::TargetId &Engine, catalog::Lifetime Lifetime,
-                base::TimePoint Now) const;
+  bool mayOrder(const base::TargetId &Engine, base::TimePoint Now) const;
 
   /// What this process has given up, and what it knows of others.
   std::vector<UnsettledOrders> own(base::TimePoint Now) const;
@@ -109,7 +109,7 @@
   };
 
   /// When orders that this process has given up count as settled.
-  base::TimePoint settledBy(const OwnOrders &Entry) const;
+  base::TimePoint settledAtLatest(const OwnOrders &Entry) const;
   /// When this machine may order again at an engine where its last order was
   /// settled at \p SettledAt.
   base::TimePoint turnAfter(base::TimePoint SettledAt) const {
--- a/src/residency/tests/enginetrackertest.cpp
+++ b/src/residency/tests/enginetrackertest.cpp
@@ -127,7 +127,7 @@
 }
 
 TEST_F(EngineTrackerTest, AnEngineThatIsNotAdmittedAcceptsNoOrders) {
-  auto Nobody = [](const base::TargetId &, catalog::Lifetime) { return false; };
+  auto Nobody = [](const base::TargetId &) { return false; };
   EXPECT_TRUE(this->view().AcceptsModelOrder);
   EngineView HeldBack = this->Tracker.views(this->Now, Nobody).front();
   EXPECT_FALSE(HeldBack.AcceptsModelOrder);
--- a/src/residency/tests/holderleasetest.cpp
+++ b/src/residency/tests/holderleasetest.cpp
@@ -323,9 +323,9 @@
   ASSERT_TRUE(Claim);
   Lease.onAppended(*Claim, Now);
   EXPECT_TRUE(Lease.held(Now));
-  EXPECT_FALSE(Lease.orderToken(Engine, Life, Now + milliseconds(699)));
-  EXPECT_TRUE(Lease.orderToken(Engine, Life, Now + milliseconds(700)));
-  EXPECT_TRUE(Lease.orderToken(OtherEngine, Life, Now));
+  EXPECT_FALSE(Lease.orderToken(Engine, Now + milliseconds(699)));
+  EXPECT_TRUE(Lease.orderToken(Engine, Now + milliseconds(700)));
+  EXPECT_TRUE(Lease.orderToken(OtherEngine, Now));
 }
 
 TEST(HolderLeaseTest, AnInstanceThatMayNotOrderYetLeavesTheClaimToOthers) {
@@ -413,14 +413,14 @@
   Lease.onRead(releasedBy("b", {7}), {7}, Now + milliseconds(600));
   Now += milliseconds(5000);
   Lease.onAppended(*Lease.tick(1, Now), Now);
-  EXPECT_FALSE(Lease.orderToken(Engine, Life, Now));
-  EXPECT_TRUE(Lease.orderToken(OtherEngine, Life, Now));
+  EXPECT_FALSE(Lease.orderToken(Engine, Now));
+  EXPECT_TRUE(Lease.orderToken(OtherEngine, Now));
   Lease.onOrderSettled(Engine, Now + milliseconds(100));
-  EXPECT_FALSE(Lease.orderToken(Engine, Life, Now + milliseconds(2900)));
+  EXPECT_FALSE(Lease.orderToken(Engine, Now + milliseconds(2900)));
   Now += milliseconds(2950);
   Lease.onAppended(*Lease.tick(1, Now), Now);
-  EXPECT_FALSE(Lease.orderToken(Engine, Life, Now + milliseconds(449)));
-  EXPECT_TRUE(Lease.orderToken(Engine, Life, Now + milliseconds(450)));
+  EXPECT_FALSE(Lease.orderToken(Engine, Now + milliseconds(449)));
+  EXPECT_TRUE(Lease.orderToken(Engine, Now + milliseconds(450)));
 }
 
 TEST(HolderLeaseTest, AReleaseListsTheOrdersThatMayStillArrive) {
@@ -438,10 +438,10 @@
   Next.onRead(Release->Record, {2}, Now);
   Now += milliseconds(700);
   Next.onAppended(*Next.tick(1, Now), Now);
-  EXPECT_TRUE(Next.orderToken(Engine, Life, Now));
-  EXPECT_FALSE(Next.orderToken(OtherEngine, Life, Now));
+  EXPECT_TRUE(Next.orderToken(Engine, Now));
+  EXPECT_FALSE(Next.orderToken(OtherEngine, Now));
   Next.onUnsettledOrders({{"a"}, {1}}, {}, Now);
-  EXPECT_TRUE(Next.orderToken(OtherEngine, Life, Now));
+  EXPECT_TRUE(Next.orderToken(OtherEngine, Now));
 }
 
 TEST(HolderLeaseTest, ALapsedHoldersOrdersAreAskedForFirst) {
@@ -474,8 +474,8 @@
   Now += milliseconds(900);
   Lease.onAppended(*Lease.tick(1, Now), Now);
   Now += milliseconds(500);
-  EXPECT_FALSE(Lease.orderToken(Engine, Life, Now));
-  EXPECT_TRUE(Lease.orderToken(OtherEngine, Life, Now));
+  EXPECT_FALSE(Lease.orderToken(Engine, Now));
+  EXPECT_TRUE(Lease.orderToken(OtherEngine, Now));
 }
 
 /// It learns of them from the record of the process before it.
@@ -492,11 +492,11 @@
   Lease.onRead(Claim->Record, {8}, Now);
   Lease.onAppended(*Lease.tick(1, Now), Now);
   Now += milliseconds(700);
-  EXPECT_TRUE(Lease.orderToken(OtherEngine, Life, Now));
-  EXPECT_FALSE(Lease.orderToken(Engine, Life, Now));
-  EXPECT_FALSE(Lease.orderToken(Engine, Life, Now + milliseconds(1199)));
+  EXPECT_TRUE(Lease.orderToken(OtherEngine, Now));
+  EXPECT_FALSE(Lease.orderToken(Engine, Now));
+  EXPECT_FALSE(Lease.orderToken(Engine, Now + milliseconds(1199)));
   // The age in the record counts from when it was read.
-  EXPECT_TRUE(Lease.orderToken(Engine, Life, Now + milliseconds(1400)));
+  EXPECT_TRUE(Lease.orderToken(Engine, Now + milliseconds(1400)));
 }
 
 /// The process before it may have sent orders that nobody can list.
@@ -557,3 +557,21 @@
   EXPECT_EQ(Later->Record.Holder.Value, "b");
   EXPECT_EQ(Later->Record.State, "state");
 }
+
+/// A process that is killed cannot list the order afterwards.
+TEST(HolderLeaseTest, AnOrderWhoseConnectionBrokeIsListedSoon) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLease Lease = makeHolder("a", Now);
+  Lease.onOrderSent(Engine, Life, Now);
+  Lease.onOrderEnded(Engine);
+  EXPECT_FALSE(Lease.tick(1, Now + milliseconds(150)));
+  Lease.onOrderCut(Engine, Now + milliseconds(150));
+  auto Listed = Lease.tick(1, Now + milliseconds(150));
+  ASSERT_TRUE(Listed);
+  EXPECT_EQ(Listed->Record.Unsettled.size(), 1U);
+  // An append that fails is tried again as soon as the store has been read.
+  Lease.onNotAppended(*Listed);
+  Lease.onRead(Lease.record(), {1}, Now + milliseconds(200));
+  EXPECT_FALSE(Lease.tick(1, Now + milliseconds(240)));
+  EXPECT_TRUE(Lease.tick(1, Now + milliseconds(250)));
+}
--- a/src/residency/tests/holderturnstest.cpp
+++ b/src/residency/tests/holderturnstest.cpp
@@ -391,8 +391,7 @@
       return;
     this->receiveReports(Of);
     for (std::size_t Engine : Of.Reported) {
-      auto Token =
-          Of.Lease->orderToken(engineId(Engine), EngineLifetime, this->Now);
+      auto Token = Of.Lease->orderToken(engineId(Engine), this->Now);
       if (!Token)
         continue;
       this->Ordering += this->Now >= this->LateUntil[Engine] ? 1 : 0;
--- a/src/residency/tests/orderledgertest.cpp
+++ b/src/residency/tests/orderledgertest.cpp
@@ -15,9 +15,7 @@
 
 class OrderLedgerTest : public testing::Test {
 protected:
-  bool mayOrder() const {
-    return this->Ledger.mayOrder(Engine, Life, this->Now);
-  }
+  bool mayOrder() const { return this->Ledger.mayOrder(Engine, this->Now); }
   void send() { this->Ledger.onSent(Engine, Life, this->Now); }
   void settle() {
     this->Ledger.onEnded(Engine);
@@ -92,11 +90,17 @@
   EXPECT_TRUE(this->mayOrder());
 }
 
-TEST_F(OrderLedgerTest, ANewLifetimeOfAnEngineHasNoLateOrders) {
+/// An engine may start again under its id, which is all that an order names.
+TEST_F(OrderLedgerTest, AnEngineThatStartsAgainSettlesNothing) {
   this->Ledger.onClaim({1}, false);
   this->Ledger.inherit({{Other, Engine, Life, milliseconds(9000)}}, this->Now,
                        this->Now);
-  EXPECT_TRUE(this->Ledger.mayOrder(Engine, {2}, this->Now));
+  constexpr catalog::Lifetime NextLife{2};
+  this->Ledger.inherit({{Other, Engine, NextLife, milliseconds(-100)}},
+                       this->Now, this->Now);
+  EXPECT_FALSE(this->mayOrder());
+  this->Now += milliseconds(9000);
+  EXPECT_TRUE(this->mayOrder());
 }
 
 /// All processes of a machine are one holder.
@@ -122,8 +126,8 @@
   OrderLedger Next({Other.Instance, {2}}, {});
   Next.onClaim({3}, false);
   Next.inherit(this->Ledger.all(this->Now), this->Now, this->Now);
-  EXPECT_FALSE(Next.mayOrder(Engine, Life, this->Now + milliseconds(2799)));
-  EXPECT_TRUE(Next.mayOrder(Engine, Life, this->Now + milliseconds(2800)));
+  EXPECT_FALSE(Next.mayOrder(Engine, this->Now + milliseconds(2799)));
+  EXPECT_TRUE(Next.mayOrder(Engine, this->Now + milliseconds(2800)));
 }
 
 TEST_F(OrderLedgerTest, ALateOrderThatIsHeardOfLateStartsATurn) {
