A silent stream is given up only for a granted retry

Cause: an attempt that was silent for too long was cancelled first, and only then the retry budget was asked. Change: the budget is asked while the attempt still runs, and the attempt is kept if the answer is no. An attempt that cannot be replaced is looked at again every 200 ms; before, its timer fired every millisecond. Result: UsedUpBudgetTest.ASilentStreamIsKeptWhenTheBudgetRefusesARetry.

--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -46,6 +46,8 @@
 constexpr unsigned UrgencyPerRank = 2;
 constexpr unsigned MaxUrgency = 9;
 constexpr double MaxJitter = 0.25;
+/// How often a silent attempt that could not be replaced is looked at again.
+constexpr std::chrono::milliseconds SilenceRecheck{200};
 
 std::string_view hostName(std::string_view Host) {
   return Host.substr(0, Host.find(':'));
@@ -463,6 +465,8 @@
   this->State = AnswerState::NoAnswer;
   this->Held.clear();
   this->DiscardedBytes = 0;
+  this->SilenceCheckAt = {};
+  this->RetryRefused = false;
   this->Events.discardIncomplete();
   unsigned Current = ++this->Attempt;
   http::Peer &Peer = this->TargetPeer;
@@ -703,10 +707,10 @@
   return NotStated && MustState ? "end-not-stated" : nullptr;
 }
 
-void Exchange::failAttempt(const char *Why) {
+void Exchange::failAttempt(const char *Why, RetryPayment Payment) {
   this->cancelCall();
   this->endAttempt(dispatch::AttemptEnd::Broken);
-  this->afterFailedAttempt(true, Why);
+  this->afterFailedAttempt(true, Why, Payment);
 }
 
 void Exchange::endAttempt(dispatch::AttemptEnd How) {
@@ -750,7 +754,8 @@
   bool Paid = this->Context.Retries.take(this->Service, this->now());
   if (Paid && this->Runs > 0 && this->Account != nullptr)
     this->Context.Usage.charge(*this->Account, this->tokenCost(), this->now());
-  if (!Paid)
+  // A silent attempt asks again and again.
+  if (!Paid && !std::exchange(this->RetryRefused, true))
     this->log(base::LogLevel::Info, "repeat-refused",
               {{"service", this->Service.Value}});
   return Paid;
@@ -820,7 +825,8 @@
   this->end("answered", this->Head.Status, "");
 }
 
-void Exchange::afterFailedAttempt(bool MayHaveRun, const std::string &Why) {
+void Exchange::afterFailedAttempt(bool MayHaveRun, const std::string &Why,
+                                  RetryPayment Payment) {
   base::TargetId From = *std::exchange(this->Target, std::nullopt);
   this->TriedTargets.insert(From);
   this->Runs += MayHaveRun ? 1 : 0;
@@ -838,7 +844,8 @@
     this->dispatch();
     return;
   }
-  if (MayHaveRun && this->mayRetry(this->Runs) && this->takeFromRetryBudget()) {
+  if (MayHaveRun && this->mayRetry(this->Runs) &&
+      (Payment == RetryPayment::Taken || this->takeFromRetryBudget())) {
     this->dispatch();
     return;
   }
@@ -878,8 +885,10 @@
   base::TimePoint Now = this->now();
   base::Duration Next = this->Deadline - Now;
   if (this->Target && this->mayRetry(this->Runs + 1))
-    Next = std::min<base::Duration>(Next, this->ProgressAt +
-                                              this->silenceLimit() - Now);
+    Next = std::min<base::Duration>(
+        Next, std::max(this->ProgressAt + this->silenceLimit(),
+                       this->SilenceCheckAt) -
+                  Now);
   else if (this->Route->Repeats != catalog::Repetition::Never)
     Next = std::min<base::Duration>(Next, this->silenceLimit());
   this->Timer.expires_after(
@@ -906,12 +915,22 @@
     return;
   }
   bool Silent = this->Target && Now >= this->ProgressAt + this->silenceLimit();
-  if (Silent && this->mayRetry(this->Runs + 1) && this->hasAlternativeTarget())
-    this->failAttempt("silence");
+  if (Silent && this->mayReplaceAttempt())
+    this->failAttempt("silence", RetryPayment::Taken);
+  else if (Silent)
+    this->SilenceCheckAt = Now + SilenceRecheck;
   if (!this->Ended)
     this->armTimer();
 }
 
+/// Whether a silent attempt may be given up for another one. What is running is
+/// kept unless a target can take the request and the budget has granted the
+/// retry, as giving it up first could leave the caller with a cut answer.
+bool Exchange::mayReplaceAttempt() {
+  return this->mayRetry(this->Runs + 1) && this->hasAlternativeTarget() &&
+         this->takeFromRetryBudget();
+}
+
 // --- The end ---------------------------------------------------------------
 
 /// Adds jitter to a retry time, so that callers do not all retry at the same
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -65,6 +65,9 @@
     Forwarded,
   };
 
+  /// Whether the retry budget has already granted the next attempt.
+  enum class RetryPayment { Due, Taken };
+
   base::TimePoint now() const { return this->Context.Clock.now(); }
   bool resolve();
   bool resolveAccount();
@@ -107,13 +110,14 @@
   void cancelCall();
   void beginForwarding();
   const char *endFault();
-  void failAttempt(const char *Why);
+  void failAttempt(const char *Why, RetryPayment Payment = RetryPayment::Due);
   void endAttempt(dispatch::AttemptEnd How);
 
   void afterRefused();
   void afterHeld();
   void afterForwarded();
-  void afterFailedAttempt(bool MayHaveRun, const std::string &Why);
+  void afterFailedAttempt(bool MayHaveRun, const std::string &Why,
+                          RetryPayment Payment = RetryPayment::Due);
   /// Has the end of the target looked for after a connection was closed.
   void checkTargetEnd();
   bool mayRetry(unsigned RunsSoFar) const;
@@ -123,6 +127,7 @@
   void onTimer();
   std::chrono::milliseconds silenceLimit() const;
   bool hasAlternativeTarget();
+  bool mayReplaceAttempt();
 
   void
   refuse(int Status, std::string_view Reason,
@@ -179,6 +184,10 @@
   bool IsTrial = false;
   base::TimePoint SentAt;
   base::TimePoint ProgressAt;
+  /// A silent attempt that could not be replaced is not looked at before.
+  base::TimePoint SilenceCheckAt;
+  /// The budget has refused a retry since the last attempt was sent.
+  bool RetryRefused = false;
   AnswerState State = AnswerState::NoAnswer;
   http::MessageHead Head;
   /// How the last answer of a target ended.
--- a/src/forwarding/tests/forwardertest.cpp
+++ b/src/forwarding/tests/forwardertest.cpp
@@ -268,6 +268,40 @@
   EXPECT_EQ(this->arrivals(), 1U);
 }
 
+namespace {
+
+class UsedUpBudgetTest : public ForwarderTest {
+protected:
+  UsedUpBudgetTest() { this->ExtraRetries = 0; }
+};
+
+} // namespace
+
+// Guards against giving up a stream that pauses, on a slow target that works,
+// before it is known whether the retry budget grants another attempt: the
+// caller's answer was cut although its target went on.
+TEST_F(UsedUpBudgetTest, ASilentStreamIsKeptWhenTheBudgetRefusesARetry) {
+  this->configure(catalog::Repetition::Resumable, true);
+  http::ResponseWriterPtr Kept;
+  this->bothAct([&](const http::Request &Asked,
+                    const http::ResponseWriterPtr &To) {
+    Kept = To;
+    To->beginStream(200,
+                    {{"Id", std::string(Asked.header("Id"))}, {"Proof", "p"}});
+    To->write("id: 1\ndata: x\n\n");
+  });
+  this->sendRequest();
+  this->Loop.run_for(milliseconds(1500));
+  ASSERT_TRUE(Kept);
+  EXPECT_FALSE(this->Response);
+  Kept->write("id: 2\ndata: x\n\n");
+  Kept->finish();
+  this->waitForResponse();
+  EXPECT_EQ(this->End, http::TransferEnd::Complete);
+  EXPECT_EQ(this->Response->Body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+  EXPECT_EQ(this->arrivals(), 1U);
+}
+
 TEST_F(ForwarderTest, AStoppingInstanceRefusesNewRequests) {
   this->configure(catalog::Repetition::Never);
   this->Traffic->refuseNew();
