Instances share what they see of targets' load and speed

Instances followed each other to full engines while others got hardly any requests. Instances add samples of load and answer times to their reports; the lease holder learns each target's pace and the number of requests that it takes well (src/pacing) and publishes them with the newest loads. Instances compare a few candidates drawn at random by expected time. Only targets that state their slowness are sampled, unless the setting target_figures says otherwise. An attempt at a slow target may be silent for longer.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -14,6 +14,7 @@
 #include "dispatch/usagepool.h"
 #include "messaging/messaging.h"
 #include "metrics/registry.h"
+#include "pacing/targetlearner.h"
 #include "residency/holder.h"
 #include "residency/holderlease.h"
 
@@ -34,6 +35,10 @@
   residency::HolderSettings Holder;
   dispatch::UsagePoolSettings Usage;
   catalog::TargetTableSettings Targets;
+  pacing::TargetLearnerSettings Learner;
+  /// How often the figures of targets are worked out and sent: several times
+  /// within the duration of a request.
+  std::chrono::milliseconds FiguresInterval{100};
   /// Interval of demand reports to the holder: short enough to follow a shift
   /// in demand within a second.
   std::chrono::milliseconds ReportInterval{250};
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -5,6 +5,7 @@
 #include "cataloglag.h"
 #include "catalogproof.h"
 #include "control/unsettledorders.h"
+#include "figuremessages.h"
 #include "holderrole.h"
 #include "residency/lagdetector.h"
 
@@ -183,6 +184,22 @@
     this->publishProof();
   }
 
+  void applyFigures(const wire::HolderReply &Reply, base::TimePoint Now) {
+    if (Reply.figures().empty() || !this->PublishedTargets)
+      return;
+    base::TimePoint At =
+        Now - std::chrono::milliseconds(Reply.figures_age_ms());
+    auto Read = decodeFigures(Reply.figures(), *this->PublishedTargets, At);
+    if (!Read) {
+      this->Metrics.counter("target_figures_unreadable").add();
+      base::logEvent(base::LogLevel::Warn, "target-figures-unreadable",
+                     {{"bytes", Reply.figures().size()}});
+      return;
+    }
+    this->Traffic.setFigures(
+        std::make_shared<const dispatch::FigureTable>(std::move(*Read)), At);
+  }
+
   /// Handles the catalog version that another instance or the holder has.
   void onReportedCatalogVersion(catalog::Version ReportedVersion) {
     catalog::Version OwnVersion = this->catalogVersion();
@@ -443,6 +460,7 @@
       return;
     wire::InstanceReport Out = this->newReport();
     writeUse(Use, Out);
+    writeSamples(Use.Samples, this->Clock.now(), Out);
     writeEvidence(Use.Evidence, this->Clock.now(), Out);
     this->Link->send(Out.SerializeAsString());
   }
@@ -524,6 +542,7 @@
     if (Reply.suspects_included() &&
         this->Suspects.apply(readSuspects(Reply, Now)))
       this->Traffic.setSuspects(this->Suspects.values());
+    this->applyFigures(Reply, Now);
     if (Reply.instances() > 0)
       this->Traffic.setInstances(Reply.instances());
     this->Traffic.onCredits(readGrants(Reply));
--- /dev/null
+++ b/src/control/internal/figuremessages.cpp
@@ -0,0 +1,131 @@
+#include "figuremessages.h"
+
+#include "base/hashing.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <unordered_map>
+
+namespace kingcuphub::control {
+
+namespace {
+
+constexpr double Percent = 100;
+
+std::uint32_t percentOf(double Value) {
+  return static_cast<std::uint32_t>(
+      std::lround(std::clamp(Value, 0.0, 1000.0) * Percent));
+}
+
+std::uint32_t millisBetween(base::TimePoint From, base::TimePoint To) {
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      base::millisOf(To - From), 0, std::numeric_limits<std::int32_t>::max()));
+}
+
+std::uint32_t keyOf(const base::TargetId &Id, catalog::Lifetime Lifetime) {
+  return static_cast<std::uint32_t>(base::stableHash(Id.Value, Lifetime.Value));
+}
+
+} // namespace
+
+void writeSamples(const std::vector<pacing::TargetSample> &Samples,
+                  base::TimePoint Now, wire::InstanceReport &To) {
+  for (const pacing::TargetSample &Each : Samples) {
+    wire::TargetSample &Out = *To.add_samples();
+    Out.set_target(Each.Target.Value);
+    Out.set_lifetime(Each.Lifetime.Value);
+    if (Each.Load) {
+      Out.set_load(
+          static_cast<std::uint32_t>(Each.Load->Running + Each.Load->Waiting));
+      Out.set_load_age_ms(millisBetween(Each.LoadAt, Now));
+      Out.set_slots(static_cast<std::uint32_t>(Each.Load->Slots));
+      Out.set_slowness_percent(percentOf(Each.Load->Slowness.value_or(0)));
+    }
+    Out.set_answered(Each.Answered);
+    Out.set_refused(Each.Refused);
+    for (std::size_t Quarter = 0; Quarter < pacing::Quarters; ++Quarter) {
+      const pacing::AnswerTimes &Times = Each.Times[Quarter];
+      if (Times.Count <= 0)
+        continue;
+      wire::LoadQuarter &Part = *Out.add_quarters();
+      Part.set_quarter(static_cast<std::uint32_t>(Quarter));
+      Part.set_count(static_cast<std::uint32_t>(Times.Count));
+      Part.set_measured_ms(static_cast<float>(Times.MeasuredMillis));
+      Part.set_expected_ms(static_cast<float>(Times.ExpectedMillis));
+    }
+  }
+}
+
+std::vector<pacing::TargetSample> readSamples(const wire::InstanceReport &From,
+                                              base::TimePoint Now) {
+  std::vector<pacing::TargetSample> Out;
+  for (const wire::TargetSample &Each : From.samples()) {
+    pacing::TargetSample &New = Out.emplace_back();
+    New.Target.Value = Each.target();
+    New.Lifetime.Value = Each.lifetime();
+    if (Each.has_load()) {
+      New.Load = dispatch::StatedLoad{Each.load(), 0, Each.slots(), {}};
+      if (Each.slowness_percent() > 0)
+        New.Load->Slowness = Each.slowness_percent() / Percent;
+      New.LoadAt = Now - std::chrono::milliseconds(Each.load_age_ms());
+    }
+    New.Answered = Each.answered();
+    New.Refused = Each.refused();
+    for (const wire::LoadQuarter &Part : Each.quarters())
+      if (Part.quarter() < pacing::Quarters)
+        New.Times[Part.quarter()] = {static_cast<double>(Part.count()),
+                                     Part.measured_ms(), Part.expected_ms()};
+  }
+  return Out;
+}
+
+std::string encodeFigures(const dispatch::FigureTable &Figures,
+                          base::TimePoint Now) {
+  wire::TargetFigures Out;
+  for (const auto &[Id, Each] : Figures) {
+    Out.add_keys(keyOf(Id, Each.Lifetime));
+    Out.add_loads(
+        static_cast<std::uint32_t>(std::max<std::int64_t>(0, Each.Load)));
+    Out.add_load_ages_ms(millisBetween(Each.LoadAt, Now));
+    Out.add_slots(static_cast<std::uint32_t>(Each.Slots));
+    Out.add_slowness_percents(percentOf(Each.Slowness));
+    Out.add_pace_percents(percentOf(Each.Pace));
+    Out.add_limits(static_cast<std::uint32_t>(Each.Limit));
+  }
+  return Out.SerializeAsString();
+}
+
+std::optional<dispatch::FigureTable>
+decodeFigures(const std::string &Bytes, const catalog::TargetList &Known,
+              base::TimePoint At) {
+  wire::TargetFigures From;
+  if (!From.ParseFromString(Bytes))
+    return std::nullopt;
+  int Count = From.keys_size();
+  for (int Size : {From.loads_size(), From.load_ages_ms_size(),
+                   From.slots_size(), From.slowness_percents_size(),
+                   From.pace_percents_size(), From.limits_size()})
+    if (Size != Count)
+      return std::nullopt;
+  std::unordered_map<std::uint32_t, const catalog::TargetEntry *> ByKey;
+  for (const auto &[Id, Target] : Known.Targets)
+    ByKey[keyOf(Id, Target.Entry.Lifetime)] = &Target.Entry;
+  dispatch::FigureTable Out;
+  for (int Index = 0; Index < Count; ++Index) {
+    auto Found = ByKey.find(From.keys(Index));
+    if (Found == ByKey.end())
+      continue;
+    dispatch::TargetFigures &New = Out[Found->second->Id];
+    New.Lifetime = Found->second->Lifetime;
+    New.Load = From.loads(Index);
+    New.LoadAt = At - std::chrono::milliseconds(From.load_ages_ms(Index));
+    New.Slots = From.slots(Index);
+    New.Slowness = From.slowness_percents(Index) / Percent;
+    New.Pace = From.pace_percents(Index) / Percent;
+    New.Limit = From.limits(Index);
+  }
+  return Out;
+}
+
+} // namespace kingcuphub::control
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/visitor.h"
 #include "control/unsettledorders.h"
+#include "figuremessages.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,7 +15,7 @@
                        const base::Clock &Clock, metrics::Registry &Metrics)
     : Settings(Settings), Engines(Engines), Lease(Lease), Clock(Clock),
       Metrics(Metrics), Holder(Settings.Holder), Usage(Settings.Usage),
-      PlanTimer(Loop), PublishTimer(Loop) {}
+      Learner(Settings.Learner), PlanTimer(Loop), PublishTimer(Loop) {}
 
 base::Result<void> HolderRole::listen(messaging::Messaging &Messages) {
   auto Started = Messages.serve(
@@ -35,6 +36,7 @@
 
 void HolderRole::setTargets(const catalog::TargetListPtr &New) {
   this->Holder.setTargets(New, this->Clock.now());
+  this->Learner.setTargets(New);
   this->Targets = New;
   if (this->Token)
     this->publishListed(*New);
@@ -69,6 +71,8 @@
   this->Held.clear();
   this->Listed.clear();
   this->Suspects.clear();
+  this->Learner.clear();
+  this->Figures.clear();
   this->Crashes.clear();
   // The record of the lease has what the previous holder left.
   std::string State =
@@ -152,17 +156,21 @@
     return;
   base::TimePoint Now = this->Clock.now();
   base::InstanceId Instance{Report.instance()};
-  this->Instances[Instance] = {
-      Now, std::chrono::milliseconds(Report.claim_handicap_ms())};
+  Peer &Sender = this->Instances[Instance];
+  Sender.HeardAt = Now;
+  Sender.Handicap = std::chrono::milliseconds(Report.claim_handicap_ms());
   this->Clients[From] = Now;
   if (this->OnCatalogVersion)
     this->OnCatalogVersion({Report.catalog_version()});
   this->Lease.onUnsettledOrders({Instance, {Report.incarnation()}},
                                 readUnsettled(Report.unsettled()), Now);
   this->Holder.onUse(Instance, readItems(Report), Now);
+  for (const pacing::TargetSample &Each : readSamples(Report, Now))
+    this->Learner.onSample(Each, Now);
   this->addEvidence(Report);
   wire::HolderReply Reply = this->newReply(Now);
   Reply.set_number(Report.number());
+  this->addFigures(Instance, Reply);
   // Revisions of a previous holder's data mean nothing here.
   bool SameHolder = Report.held_token() == this->Token->Value;
   if (std::uint64_t Known = SameHolder ? Report.held_revision() : 0;
@@ -183,6 +191,47 @@
     this->requestPlan();
 }
 
+void HolderRole::addFigures(const base::InstanceId &Receiver,
+                            wire::HolderReply &To) {
+  base::TimePoint Now = this->Clock.now();
+  if (Now >= this->FiguresAt + this->Settings.FiguresInterval) {
+    dispatch::FigureTable Table = this->Learner.figures(Now);
+    this->Figures = Table.empty() ? std::string() : encodeFigures(Table, Now);
+    this->FiguresAt = Now;
+    this->logSlowTargets(Table);
+  }
+  Peer &Of = this->Instances[Receiver];
+  if (this->Figures.empty() || Of.FiguresAt == this->FiguresAt)
+    return;
+  Of.FiguresAt = this->FiguresAt;
+  To.set_figures(this->Figures);
+  To.set_figures_age_ms(
+      static_cast<std::uint32_t>(base::millisOf(Now - this->FiguresAt)));
+}
+
+void HolderRole::logSlowTargets(const dispatch::FigureTable &Figures) {
+  constexpr double SlowPace = 2;
+  std::int64_t Slow = 0;
+  for (const auto &[Id, Each] : Figures) {
+    bool IsSlow = Each.Pace >= SlowPace || Each.Limit < Each.Slots;
+    Slow += IsSlow ? 1 : 0;
+    if (std::exchange(this->LoggedSlow[Id], IsSlow) == IsSlow)
+      continue;
+    base::logEvent(base::LogLevel::Info,
+                   IsSlow ? "target-slow" : "target-usual-again",
+                   {{"target", Id.Value},
+                    {"pace", Each.Pace},
+                    {"slowness", Each.Slowness},
+                    {"limit", Each.Limit},
+                    {"slots", Each.Slots},
+                    {"load", Each.Load}});
+  }
+  std::erase_if(this->LoggedSlow, [&](const auto &Each) {
+    return Figures.count(Each.first) == 0;
+  });
+  this->Metrics.counter("slow_targets").set(Slow);
+}
+
 void HolderRole::addEvidence(const wire::InstanceReport &Report) {
   base::TimePoint Now = this->Clock.now();
   dispatch::CrashEvidence Evidence = readEvidence(Report, Now);
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -9,6 +9,7 @@
 #include "control/control.h"
 #include "dispatch/crashcorrelator.h"
 #include "linkmessages.h"
+#include "pacing/targetlearner.h"
 #include "residency/capacity.h"
 
 #include <asio/steady_timer.hpp>
@@ -60,6 +61,8 @@
   struct Peer {
     base::TimePoint HeardAt;
     std::chrono::milliseconds Handicap{0};
+    /// When the figures were encoded that it was sent last.
+    base::TimePoint FiguresAt{};
   };
 
   void logGained(residency::FencingToken New, base::TimePoint Now) const;
@@ -79,6 +82,9 @@
   void publish();
   /// The minimum time between two broadcasts of what engines hold.
   base::Duration publishInterval() const;
+  /// Adds the figures of targets, unless the receiver has got them already.
+  void addFigures(const base::InstanceId &Receiver, wire::HolderReply &To);
+  void logSlowTargets(const dispatch::FigureTable &Figures);
   /// Sends every instance the changes in the list of targets.
   void publishListed(const catalog::TargetList &All);
   void broadcast(const wire::HolderReply &Message);
@@ -119,6 +125,11 @@
   std::map<messaging::ClientName, base::TimePoint> Clients;
   HeldSource Held;
   ListedSource Listed;
+  pacing::TargetLearner Learner;
+  std::string Figures;
+  base::TimePoint FiguresAt;
+  /// Targets that were logged as slow or as taking fewer requests than slots.
+  std::map<base::TargetId, bool> LoggedSlow;
   dispatch::CrashCorrelator Crashes;
   SuspectsSource Suspects;
   /// As in the state that was last set for the next holder.
--- a/src/control/trafficport.h
+++ b/src/control/trafficport.h
@@ -25,6 +25,8 @@
   setHeld(catalog::SharedHeldStatesPtr Held,
           std::map<dispatch::ServiceModel, base::TimePoint> Loading,
           base::TimePoint Until) = 0;
+  /// Sets what the lease holder has published about targets at \p At.
+  virtual void setFigures(dispatch::FigureTablePtr New, base::TimePoint At) = 0;
   virtual void setSuspects(dispatch::SuspectParts New) = 0;
   virtual void onCredits(std::vector<forwarding::CreditAnswer> Credits) = 0;
   /// Handles that another holder grants credit from now on. \p Done is called
--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -24,7 +24,7 @@
 
 TargetSelector::TargetSelector(TargetSelectorSettings NewSettings)
     : Settings(std::move(NewSettings)), Cold(this->Settings.Cold),
-      Hints(this->Settings.PrefixCapacity) {}
+      Hints(this->Settings.PrefixCapacity), Random(this->Settings.Seed) {}
 
 void TargetSelector::setCatalog(catalog::CatalogPtr New) {
   this->Catalog = std::move(New);
@@ -51,6 +51,9 @@
       this->Hints.forget(Id);
       TargetState.FailureRate = 0;
       TargetState.Lacking.clear();
+      TargetState.Slowness = TargetState.Pace = 1;
+      TargetState.Limit = 0;
+      TargetState.LoadAt = TargetState.FiguresAt = {};
     }
     TargetState.Lifetime = Target.Entry.Lifetime;
     TargetState.View.configure(Seen);
@@ -128,6 +131,57 @@
   return Same ? Found->second.get() : nullptr;
 }
 
+void TargetSelector::setFigures(const FigureTable &New, base::TimePoint At) {
+  for (const auto &[Id, Figures] : New) {
+    State *TargetState = this->stateOf(Id);
+    if (TargetState == nullptr || TargetState->Lifetime != Figures.Lifetime)
+      continue;
+    TargetState->Pace = Figures.Pace;
+    TargetState->Limit = static_cast<double>(Figures.Limit);
+    TargetState->FiguresAt = At;
+    TargetState->View.setReportDecay(this->Settings.PublishedLoadDecay);
+    if (Figures.LoadAt <= TargetState->LoadAt)
+      continue;
+    TargetState->Slowness = Figures.Slowness;
+    this->recordLoad(*TargetState, {Figures.Load, 0, Figures.Slots, {}},
+                     Figures.LoadAt);
+  }
+}
+
+double TargetSelector::slowness(const base::TargetId &Id) const {
+  auto Found = this->States.find(Id);
+  return Found == this->States.end()
+             ? 1
+             : Found->second.Slowness * Found->second.Pace;
+}
+
+double TargetSelector::load(const base::TargetId &Id,
+                            base::TimePoint Now) const {
+  auto Found = this->States.find(Id);
+  return Found == this->States.end() ? 0
+                                     : Found->second.View.estimatedLoad(Now);
+}
+
+std::int64_t TargetSelector::slots(const base::TargetId &Id) const {
+  auto Found = this->States.find(Id);
+  if (Found != this->States.end() && Found->second.Slots > 0)
+    return Found->second.Slots;
+  const catalog::Target *Target = this->find(Id);
+  return Target == nullptr ? 1 : Target->Entry.Slots;
+}
+
+double TargetSelector::expectedMillis(const TargetQuery &Query,
+                                      const base::TargetId &Id,
+                                      base::TimePoint Now) const {
+  const catalog::Target *Target = this->find(Id);
+  auto Found = this->States.find(Id);
+  if (Target == nullptr || Found == this->States.end())
+    return 0;
+  return Found->second.Slowness * this->usualMillis(*Target, Found->second,
+                                                    Query, promptChain(Query),
+                                                    Now);
+}
+
 void TargetSelector::setLoading(
     std::map<ServiceModel, base::TimePoint> NewLoading) {
   this->Loading = std::move(NewLoading);
@@ -256,27 +310,70 @@
   return Missing;
 }
 
-double TargetSelector::cost(const catalog::Target &Target,
-                            const State &TargetState, const TargetQuery &Query,
-                            const PromptChain &Prompt,
-                            base::TimePoint Now) const {
+double TargetSelector::usualMillis(const catalog::Target &Target,
+                                   const State &TargetState,
+                                   const TargetQuery &Query,
+                                   const PromptChain &Prompt,
+                                   base::TimePoint Now) const {
   double Load = TargetState.View.estimatedLoad(Now);
-  double Millis = Load * this->Settings.BatchedRequestMillis;
   if (Query.Model.empty()) {
     // A plain service runs as many requests as it has slots and queues the
     // rest.
     double Slots = std::max(1.0, static_cast<double>(Target.Entry.Slots));
     constexpr double WorkMillis = 50;
-    Millis = Load / Slots * WorkMillis;
+    return (1 + Load / Slots) * WorkMillis;
+  }
+  return this->Settings.FirstEventMillis +
+         Load * this->Settings.BatchedRequestMillis +
+         this->missingTokens(Target.Entry.Id, Prompt) /
+             this->Settings.PromptTokensPerMilli;
+}
+
+double TargetSelector::cost(const catalog::Target &Target,
+                            const State &TargetState, const TargetQuery &Query,
+                            const PromptChain &Prompt,
+                            base::TimePoint Now) const {
+  double Millis = this->usualMillis(Target, TargetState, Query, Prompt, Now);
+  if (this->hasFigures(TargetState, Now)) {
+    double Load = TargetState.View.estimatedLoad(Now);
+    auto Slots = static_cast<double>(this->slots(Target.Entry.Id));
+    double Limit = TargetState.Limit > 0 ? TargetState.Limit : Slots;
+    Millis +=
+        std::max(0.0, Load + 1 - Limit) * this->Settings.BeyondLimitMillis +
+        std::max(0.0, Load + 1 - Slots) * this->Settings.PlaceWaitMillis;
+    Millis *= TargetState.Slowness * TargetState.Pace;
   }
-  Millis += this->missingTokens(Target.Entry.Id, Prompt) /
-            this->Settings.PromptTokensPerMilli;
   if (Target.Entry.Zone != this->Settings.Zone)
     Millis += this->Settings.OtherZoneMillis;
   return Millis + this->failureRate(TargetState, Now) *
                       this->Settings.FailurePenaltyMillis;
 }
 
+void TargetSelector::drawCandidates(std::vector<const catalog::Target *> &From,
+                                    const PromptChain &Prompt) {
+  if (From.size() <= this->Settings.Candidates)
+    return;
+  double Least = 0;
+  for (const PromptPart &Each : Prompt)
+    Least += static_cast<double>(Each.Size.Value);
+  const catalog::Target *Kept = nullptr;
+  for (const catalog::Target *Each : From) {
+    double Missing = this->missingTokens(Each->Entry.Id, Prompt);
+    if (Missing >= Least)
+      continue;
+    Kept = Each;
+    Least = Missing;
+  }
+  for (std::size_t Index = 0; Index < this->Settings.Candidates; ++Index) {
+    std::uniform_int_distribution<std::size_t> Draw(Index, From.size() - 1);
+    std::swap(From[Index], From[Draw(this->Random)]);
+  }
+  From.resize(this->Settings.Candidates);
+  bool Drawn = std::find(From.begin(), From.end(), Kept) != From.end();
+  if (Kept != nullptr && !Drawn)
+    From.push_back(Kept);
+}
+
 TargetChoice TargetSelector::choose(const TargetQuery &Query,
                                     base::TimePoint Now) {
   if (!this->Targets)
@@ -285,8 +382,8 @@
   bool AnyHolds = false;
   bool AllWait = true;
   std::optional<base::TimePoint> FirstWait;
-  const catalog::Target *Best = nullptr;
-  double BestCost = std::numeric_limits<double>::max();
+  bool HaveFigures = false;
+  std::vector<const catalog::Target *> Eligible;
   PromptChain Prompt = promptChain(Query);
   for (const auto &[Id, Target] : this->Targets->Targets) {
     if (Target.Entry.Service != Query.Service || !this->isUsable(Target, Now))
@@ -311,9 +408,18 @@
     if (Now < Target.ColdUntil &&
         !this->Cold.allows(Target, this->coldRequestRate(Target), Now))
       continue;
-    double Cost = this->cost(Target, TargetState, Query, Prompt, Now);
+    HaveFigures = HaveFigures || this->hasFigures(TargetState, Now);
+    Eligible.push_back(&Target);
+  }
+  if (HaveFigures)
+    this->drawCandidates(Eligible, Prompt);
+  const catalog::Target *Best = nullptr;
+  double BestCost = std::numeric_limits<double>::max();
+  for (const catalog::Target *Each : Eligible) {
+    double Cost =
+        this->cost(*Each, *this->stateOf(Each->Entry.Id), Query, Prompt, Now);
     if (Cost < BestCost) {
-      Best = &Target;
+      Best = Each;
       BestCost = Cost;
     }
   }
@@ -344,13 +450,22 @@
   State *TargetState = this->stateOf(Id);
   if (TargetState == nullptr)
     return;
-  TargetState->Slots = Load.Slots;
+  if (Load.Slowness)
+    TargetState->Slowness += this->Settings.SlownessSmoothing *
+                             (*Load.Slowness - TargetState->Slowness);
+  this->recordLoad(*TargetState, Load, Now);
+}
+
+void TargetSelector::recordLoad(State &To, const StatedLoad &Load,
+                                base::TimePoint At) {
+  To.Slots = Load.Slots;
+  To.LoadAt = At;
   routing::LoadReport Report;
-  Report.Sequence = ++TargetState->Reports;
-  Report.MeasuredAt = Now;
+  Report.Sequence = ++To.Reports;
+  Report.MeasuredAt = At;
   Report.Running = Load.Running;
   Report.Waiting = Load.Waiting;
-  TargetState->View.reported(Report);
+  To.View.reported(Report);
 }
 
 double TargetSelector::failureRate(const State &TargetState,
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -10,16 +10,24 @@
 /// to the first answer is selected, based on the requests there, the part of
 /// the prompt that is not cached, and the recent failure rate. No I/O and no
 /// clock.
+///
+/// Load pattern: 60 instances with a sixtieth of the traffic each choose among
+/// targets of unlike speed. Where the lease holder publishes figures of the
+/// targets, each instance compares a few candidates drawn at random by the load
+/// and speed that all have seen: all of them choosing the least loaded target
+/// of one table would send everything there.
 
 #include "base/clock.h"
 #include "catalog/target.h"
 #include "dispatch/coldlimit.h"
 #include "dispatch/requestfacts.h"
+#include "dispatch/targetfigures.h"
 #include "routing/prefixhints.h"
 #include "routing/targetview.h"
 
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <variant>
@@ -57,6 +65,9 @@
   std::int64_t Running = 0;
   std::int64_t Waiting = 0;
   std::int64_t Slots = 0;
+  /// How long work takes there at this moment, relative to usual; empty if the
+  /// target does not state it.
+  std::optional<double> Slowness;
 };
 
 /// How an attempt ended, as far as it indicates the state of the target.
@@ -90,6 +101,23 @@
   /// Delay that each further request in a batch adds to the first event of
   /// another.
   double BatchedRequestMillis = 1.0;
+  /// Time to the first event of an engine beside the prompt and the others.
+  double FirstEventMillis = 50;
+  /// Where figures are published: how many candidates are compared, besides the
+  /// one with most of the prompt.
+  std::size_t Candidates = 3;
+  /// Delay for each request beyond the number that a target takes well, and for
+  /// each that has to wait for a place there.
+  double BeyondLimitMillis = 60;
+  double PlaceWaitMillis = 120;
+  /// Time constant by which published loads are discounted: about the duration
+  /// of a stream.
+  std::chrono::milliseconds PublishedLoadDecay{3000};
+  /// Figures that are older than this are not used.
+  std::chrono::milliseconds FiguresValidFor{2000};
+  /// Weight of a newly stated slowness, which changes many times a second.
+  double SlownessSmoothing = 0.3;
+  std::uint64_t Seed = std::random_device{}();
   /// Cost of another availability zone: the additional round trip and the price
   /// of traffic between zones.
   double OtherZoneMillis = 2;
@@ -116,6 +144,9 @@
   /// \p Until. Returns whether it has changed.
   bool setHeld(catalog::SharedHeldStatesPtr New, base::TimePoint Until);
 
+  /// Sets what the lease holder has published about targets at \p At.
+  void setFigures(const FigureTable &New, base::TimePoint At);
+
   /// Sets when models will be loaded according to the lease holder.
   void setLoading(std::map<ServiceModel, base::TimePoint> NewLoading);
   /// When the model will be loaded; empty if it is not known to be loading.
@@ -129,6 +160,16 @@
   /// a request is sent.
   bool maySend(const base::TargetId &Id, base::TimePoint Now) const;
   const catalog::Target *find(const base::TargetId &Id) const;
+  /// How long work takes at the target relative to usual, as far as is known;
+  /// 1 otherwise.
+  double slowness(const base::TargetId &Id) const;
+  /// Estimated requests at the target.
+  double load(const base::TargetId &Id, base::TimePoint Now) const;
+  std::int64_t slots(const base::TargetId &Id) const;
+  /// Expected time to the first answer at the target, by the slowness that it
+  /// states itself and without what was learned about it.
+  double expectedMillis(const TargetQuery &Query, const base::TargetId &Id,
+                        base::TimePoint Now) const;
 
   void onSent(const TargetQuery &Query, const base::TargetId &Id,
               base::TimePoint Now);
@@ -157,6 +198,14 @@
     double FailureRate = 0;
     base::TimePoint FailureAt;
     base::TimePoint FullUntil;
+    /// As the target states it, smoothed.
+    double Slowness = 1;
+    /// When its load was last stated, to any instance.
+    base::TimePoint LoadAt;
+    /// As learned by the lease holder; the limit is 0 if it is unknown.
+    double Pace = 1;
+    double Limit = 0;
+    base::TimePoint FiguresAt;
     /// Models and adapters that the target was found to lack, each with the
     /// time until which it counts as lacking.
     std::map<std::pair<base::ModelId, base::AdapterId>, base::TimePoint>
@@ -177,6 +226,7 @@
   using PromptChain = std::vector<PromptPart>;
 
   State *stateOf(const base::TargetId &Id);
+  static void recordLoad(State &To, const StatedLoad &Load, base::TimePoint At);
   /// Null if the target has reported nothing in this lifetime.
   const SelfReport *selfReportOf(const catalog::Target &Target) const;
   /// The report of the target's current lifetime, for modification; null if the
@@ -199,6 +249,17 @@
   double cost(const catalog::Target &Target, const State &TargetState,
               const TargetQuery &Query, const PromptChain &Prompt,
               base::TimePoint Now) const;
+  /// Time to the first answer at a target of usual speed.
+  double usualMillis(const catalog::Target &Target, const State &TargetState,
+                     const TargetQuery &Query, const PromptChain &Prompt,
+                     base::TimePoint Now) const;
+  bool hasFigures(const State &TargetState, base::TimePoint Now) const {
+    return Now < TargetState.FiguresAt + this->Settings.FiguresValidFor;
+  }
+  /// Reduces the candidates to some drawn at random and the one that has most
+  /// of the prompt.
+  void drawCandidates(std::vector<const catalog::Target *> &From,
+                      const PromptChain &Prompt);
   double failureRate(const State &TargetState, base::TimePoint Now) const;
   static PromptChain promptChain(const TargetQuery &Query);
   double missingTokens(const base::TargetId &Id,
@@ -214,6 +275,7 @@
   base::TimePoint HeldUntil;
   std::map<base::TargetId, SelfReport> SelfReports;
   std::map<ServiceModel, base::TimePoint> Loading;
+  std::mt19937_64 Random;
 };
 
 } // namespace kingcuphub::dispatch
--- a/src/dispatch/tests/targetselectortest.cpp
+++ b/src/dispatch/tests/targetselectortest.cpp
@@ -222,3 +222,147 @@
   EXPECT_EQ(this->choose(Start + milliseconds(800)), "");
   EXPECT_EQ(this->choose(Start + milliseconds(900)), "c");
 }
+
+namespace {
+
+/// 60 instances with a sixtieth of the traffic each, and 20 copies of a model
+/// with 12 slots, of which some work at a third of the speed. All that an
+/// instance knows of the others' requests comes with answers to its own, or
+/// with the figures that it gets four times a second.
+class SharedTargets {
+public:
+  explicit SharedTargets(bool Publishes) : Publishes(Publishes) {
+    auto List = std::make_shared<catalog::TargetList>();
+    for (int Index = 0; Index < Copies; ++Index) {
+      catalog::Target Target;
+      Target.Entry.Id = {"t" + std::to_string(Index)};
+      Target.Entry.Service = Pool;
+      Target.Entry.Slots = Slots;
+      Target.Entry.Models[Model];
+      List->Targets[Target.Entry.Id] = Target;
+      this->Running[Target.Entry.Id] = {};
+    }
+    auto Config = std::make_shared<catalog::Catalog>();
+    Config->Services[Pool].Id = Pool;
+    Config->Services[Pool].Engine.emplace();
+    for (int Index = 0; Index < Instances; ++Index) {
+      TargetSelectorSettings Settings;
+      Settings.Seed = static_cast<std::uint64_t>(Index);
+      auto &New = this->Selectors.emplace_back(Settings);
+      New.setCatalog(Config);
+      New.setTargets(List);
+    }
+  }
+
+  /// \p PerSecond: requests over all instances.
+  void play(std::chrono::seconds For, int PerSecond) {
+    constexpr milliseconds Step{5};
+    std::bernoulli_distribution Asks(PerSecond / 1000.0 * Step.count() /
+                                     Instances);
+    for (base::TimePoint End = this->Now + For; this->Now < End;
+         this->Now += Step) {
+      this->endRequests();
+      if (this->Publishes && (this->Now - Start) % milliseconds(250) == Step)
+        this->publish();
+      for (std::size_t Index = 0; Index < this->Selectors.size(); ++Index)
+        if (Asks(this->Random))
+          this->ask(Index);
+    }
+  }
+
+  int Arrived = 0;
+  int Full = 0;
+  std::map<base::TargetId, int> Sent;
+
+private:
+  static constexpr int Copies = 20;
+  static constexpr int Slots = 12;
+  static constexpr int Instances = 60;
+  struct Request {
+    std::size_t From = 0;
+    base::TimePoint EndsAt;
+  };
+
+  static bool isSlow(const base::TargetId &Id) {
+    return Id.Value.back() == '3';
+  }
+
+  StatedLoad stated(const base::TargetId &Id) {
+    return {static_cast<std::int64_t>(this->Running[Id].size()), 0, Slots,
+            isSlow(Id) ? 3.0 : 1.0};
+  }
+
+  void endRequests() {
+    for (auto &[Id, Requests] : this->Running)
+      std::erase_if(Requests, [&, Id = Id](const Request &Each) {
+        if (Each.EndsAt > this->Now)
+          return false;
+        this->Selectors[Each.From].onEnded(Id, AttemptEnd::Served, this->Now);
+        return true;
+      });
+  }
+
+  void publish() {
+    FigureTable Table;
+    for (const auto &[Id, Requests] : this->Running) {
+      StatedLoad Load = this->stated(Id);
+      Table[Id] = {{}, Load.Running, this->Now, Slots, *Load.Slowness,
+                   1,  Slots};
+    }
+    for (TargetSelector &Each : this->Selectors)
+      Each.setFigures(Table, this->Now);
+  }
+
+  void ask(std::size_t Index) {
+    TargetQuery Query;
+    Query.Service = Pool;
+    Query.Model = Model;
+    TargetSelector &Selector = this->Selectors[Index];
+    TargetChoice Choice = Selector.choose(Query, this->Now);
+    auto *To = std::get_if<SendTo>(&Choice);
+    if (To == nullptr)
+      return;
+    ++this->Arrived;
+    ++this->Sent[To->Target];
+    Selector.onSent(Query, To->Target, this->Now);
+    auto &Requests = this->Running[To->Target];
+    milliseconds Takes(isSlow(To->Target) ? 3600 : 1200);
+    if (Requests.size() < Slots) {
+      Requests.push_back({Index, this->Now + Takes});
+    } else {
+      ++this->Full;
+      Selector.onEnded(To->Target, AttemptEnd::Refused, this->Now);
+    }
+    Selector.onStatedLoad(To->Target, this->stated(To->Target), this->Now);
+  }
+
+  bool Publishes;
+  std::vector<TargetSelector> Selectors;
+  std::map<base::TargetId, std::vector<Request>> Running;
+  std::mt19937_64 Random{1};
+  base::TimePoint Now = Start;
+};
+
+} // namespace
+
+// Guards against instances that know only of their own requests and follow each
+// other: a quarter of all arrivals was refused by full engines while a third of
+// the engines got hardly any. Half of the slots are needed here.
+TEST(SharedTargetsTest, InstancesDoNotFollowEachOtherToFullTargets) {
+  SharedTargets With(true);
+  With.play(std::chrono::seconds(20), 90);
+  int Busiest = 0;
+  for (const auto &[Id, Count] : With.Sent)
+    Busiest = std::max(Busiest, Count);
+  EXPECT_LT(With.Full * 100, With.Arrived);
+  EXPECT_LT(Busiest, 2 * With.Arrived / 20);
+  EXPECT_LT(With.Sent[{"t3"}], With.Arrived / 20 / 2);
+}
+
+// Failure: there is no holder, and figures are out of date. Instances go by
+// what their own answers state, and every target is still used.
+TEST(SharedTargetsTest, WithoutFiguresEveryTargetIsUsed) {
+  SharedTargets Without(false);
+  Without.play(std::chrono::seconds(20), 90);
+  EXPECT_EQ(Without.Sent.size(), 20U);
+}
--- a/src/forwarding/dialect.h
+++ b/src/forwarding/dialect.h
@@ -42,6 +42,8 @@
   /// The answer contains the target's proof of its authenticity.
   bool Proven = false;
   std::optional<dispatch::StatedLoad> Load;
+  /// The target has stated a load that could not be read.
+  bool LoadUnreadable = false;
   /// The target is leaving and must get no further requests.
   bool Leaving = false;
   /// How long the target asks this instance to send no further requests.
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -18,6 +18,7 @@
 #include "http/forwardclient.h"
 #include "http/httpserver.h"
 #include "metrics/registry.h"
+#include "pacing/samplecollector.h"
 #include "residency/types.h"
 
 #include <asio/io_context.hpp>
@@ -33,6 +34,7 @@
   dispatch::RetryBudgetSettings Retries;
   dispatch::UsageAdmissionSettings Usage;
   dispatch::PromptQuarantineSettings Quarantine;
+  pacing::SamplingMode Sampling = pacing::SamplingMode::WhereSlownessIsStated;
   /// Fraction of the caller's patience that a request may wait for its
   /// account's tokens; a request that starts later would miss its objective.
   double TokenWaitFraction = 0.15;
@@ -66,6 +68,7 @@
 /// What the traffic side has observed since the last query.
 struct TrafficUse {
   std::vector<residency::ItemUse> Items;
+  std::vector<pacing::TargetSample> Samples;
   dispatch::CrashEvidence Evidence;
 };
 
@@ -103,6 +106,9 @@
   virtual void setInstances(unsigned Count) = 0;
   virtual void setHeld(catalog::SharedHeldStatesPtr Held,
                        base::TimePoint Until) = 0;
+  /// Sets what the lease holder has published about targets at \p At.
+  virtual void setFigures(const dispatch::FigureTable &New,
+                          base::TimePoint At) = 0;
   virtual void
   setLoading(std::map<dispatch::ServiceModel, base::TimePoint> Loading) = 0;
   /// Sets which parts of prompts may crash targets according to the lease
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -487,6 +487,11 @@
              {"targets", this->Context.Targets->Revision},
              {"targets_age_ms", base::millisOf(Now - this->Context.TargetsAt)},
              {"heard_ms_ago", base::millisOf(Now - Listed->ReadAt)}});
+  this->AnswerTimed = false;
+  this->SentAs = {
+      To, this->TargetLifetime, this->Context.Selector.load(To, Now),
+      this->Context.Selector.slots(To),
+      this->Context.Selector.expectedMillis(this->query(), To, Now)};
   this->Context.Selector.onSent(this->query(), To, Now);
   auto Guarded = [this, Current, Self = this->shared_from_this()](auto Take) {
     return [this, Current, Self, Take](const auto &What) {
@@ -517,8 +522,11 @@
     this->failAttempt("crossed-answer");
     return;
   }
-  if (Said.Load)
+  if (Said.Load) {
     this->Context.Selector.onStatedLoad(*this->Target, *Said.Load, this->now());
+    this->Context.Samples.onStatedLoad(*this->Target, this->TargetLifetime,
+                                       *Said.Load, this->now());
+  }
   if (Unrun) {
     this->State = AnswerState::Refused;
     this->RefusedOn.insert(this->Call->connection());
@@ -550,6 +558,11 @@
     this->log(base::LogLevel::Info, "target-says-it-leaves",
               {{"target", this->Target->Value}});
   }
+  if (Said.LoadUnreadable) {
+    this->Context.Metrics.counter("target_load_unreadable").add();
+    this->log(base::LogLevel::Warn, "target-load-unreadable",
+              {{"target", this->Target->Value}});
+  }
   if (Said.Wait) {
     this->Context.Selector.onAskedToWait(*this->Target, *Said.Wait,
                                          this->now());
@@ -582,8 +595,22 @@
   });
 }
 
+void Exchange::recordAnswerTime() {
+  if (!std::exchange(this->AnswerTimed, true))
+    this->Context.Samples.onAnswered(this->SentAs, this->now() - this->SentAt);
+}
+
+void Exchange::recordVainWait() {
+  base::Duration Waited = this->now() - this->SentAt;
+  if (Waited >
+      std::chrono::duration<double, std::milli>(this->SentAs.ExpectedMillis))
+    this->recordAnswerTime();
+}
+
 void Exchange::onData(std::string_view Bytes) {
   this->ProgressAt = this->now();
+  if (this->State == AnswerState::Held || this->State == AnswerState::Forwarded)
+    this->recordAnswerTime();
   switch (this->State) {
   case AnswerState::NoAnswer:
     return;
@@ -716,6 +743,8 @@
 void Exchange::endAttempt(dispatch::AttemptEnd How) {
   base::TimePoint Now = this->now();
   this->Context.Selector.onEnded(*this->Target, How, Now);
+  if (How == dispatch::AttemptEnd::Broken)
+    this->recordVainWait();
   // An end that is not stated may be the target's own end.
   bool Proven = How == dispatch::AttemptEnd::Served &&
                 isSuccess(this->Head.Status) &&
@@ -778,8 +807,10 @@
   if (this->HeadFacts.Misdirected || Ordered)
     this->Context.Selector.onNotHeld(From, this->Facts.Model,
                                      this->Facts.Adapter, this->now());
-  else
+  else {
     this->Context.Selector.onFull(From, this->now());
+    this->Context.Samples.onFull(From, this->TargetLifetime);
+  }
   bool Again = this->Refusals < MaxRefusals &&
                this->now() + MinAttemptTime < this->Deadline &&
                this->takeFromRetryBudget();
@@ -876,9 +907,14 @@
   const ForwarderSettings &Settings = this->Context.Settings;
   auto Objective =
       this->AnswerBegun ? this->Route->PauseObjective : this->Route->Objective;
-  return std::max(Settings.MinSilence,
-                  std::chrono::duration_cast<std::chrono::milliseconds>(
-                      Objective * Settings.SilenceObjectives));
+  double Slowness =
+      this->Target ? this->Context.Selector.slowness(*this->Target) : 1;
+  auto Usual = std::max(Settings.MinSilence,
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                            Objective * Settings.SilenceObjectives));
+  // A slow target that works is silent for longer than others.
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      Usual * std::max(Slowness, 1.0));
 }
 
 void Exchange::armTimer() {
@@ -1020,6 +1056,7 @@
   this->log(base::LogLevel::Info, "ended", std::move(Fields));
   if (this->Target) {
     base::TargetId From = *std::exchange(this->Target, std::nullopt);
+    this->recordVainWait();
     this->Context.Selector.onEnded(From, dispatch::AttemptEnd::Cancelled, Now);
     this->Context.ServeQueue();
   }
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -112,6 +112,11 @@
   const char *endFault();
   void failAttempt(const char *Why, RetryPayment Payment = RetryPayment::Due);
   void endAttempt(dispatch::AttemptEnd How);
+  /// Takes the time to the first part of the answer, once for each attempt.
+  void recordAnswerTime();
+  /// The same for an attempt that ends without one; it says something about the
+  /// target only if it waited for longer than expected.
+  void recordVainWait();
 
   void afterRefused();
   void afterHeld();
@@ -174,6 +179,8 @@
   http::Peer TargetPeer;
   std::shared_ptr<http::ForwardCall> Call;
   unsigned Attempt = 0;
+  pacing::SentAttempt SentAs;
+  bool AnswerTimed = false;
   /// Attempts that may have run the request, and attempts that were refused
   /// without running it.
   unsigned Runs = 0;
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -121,6 +121,12 @@
       this->serveQueue();
   }
 
+  void setFigures(const dispatch::FigureTable &New,
+                  base::TimePoint At) override {
+    this->Context.Selector.setFigures(New, At);
+    this->serveQueue();
+  }
+
   void setLoading(
       std::map<dispatch::ServiceModel, base::TimePoint> Loading) override {
     this->Context.Selector.setLoading(std::move(Loading));
@@ -161,6 +167,7 @@
       Use.What = Key.second;
       Out.Items.push_back(Use);
     }
+    Out.Samples = this->Context.Samples.take();
     Out.Evidence =
         this->Context.Quarantine.takeEvidence(this->Context.Clock.now());
     return Out;
--- a/src/forwarding/internal/trafficcontext.h
+++ b/src/forwarding/internal/trafficcontext.h
@@ -32,6 +32,7 @@
         Clock(Clock), Metrics(Metrics), Selector(this->Settings.Selector),
         Retries(this->Settings.Retries), Usage(this->Settings.Usage),
         Waits(this->Settings.Waits), Quarantine(this->Settings.Quarantine),
+        Samples(this->Settings.Sampling),
         Client(http::makeForwardClient(Loop, this->Settings.Connections)),
         AnswerSizes({this->Settings.MaxHeldBytes, this->Settings.MaxPieceBytes,
                      this->Settings.MaxUnsentBytes},
@@ -63,6 +64,7 @@
   dispatch::UsageAdmission Usage;
   dispatch::WaitPolicy Waits;
   dispatch::PromptQuarantine Quarantine;
+  pacing::SampleCollector Samples;
   std::unique_ptr<http::ForwardClient> Client;
   AnswerLimits AnswerSizes;
   TargetEndCheck EndCheck;
--- a/src/instance/internal/settings.cpp
+++ b/src/instance/internal/settings.cpp
@@ -23,6 +23,15 @@
 constexpr std::int64_t MostMegabytes = 1 << 20;
 constexpr std::size_t Megabyte = 1U << 20U;
 
+pacing::SamplingMode readSampling(base::SettingsReader &Reader) {
+  std::string Text =
+      Reader.oneOf("target_figures", "stated", {"off", "stated", "all"});
+  if (Text == "off")
+    return pacing::SamplingMode::Off;
+  return Text == "all" ? pacing::SamplingMode::All
+                       : pacing::SamplingMode::WhereSlownessIsStated;
+}
+
 base::Endpoint requiredEndpoint(base::SettingsReader &Reader,
                                 const std::string &Name) {
   if (!Reader.has(Name))
@@ -96,6 +105,7 @@
       Reader.millis("catalog_applies_within_ms", Out.CatalogProofFor + OnItsWay,
                     ShortestWindow, LongestWindow) -
       OnItsWay;
+  Out.Sampling = readSampling(Reader);
   Out.Level = base::parseLogLevel(
       Reader.oneOf("log_level", "info", {"debug", "info", "warn", "error"}));
   Reader.object("capacity", [&Out](base::SettingsReader &Nested) {
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -14,6 +14,7 @@
   Out.Selector.Cold.Self = Options.Name;
   Out.Quarantine.Self = Options.Name;
   Out.Retries = Options.Repeats;
+  Out.Sampling = Options.Sampling;
   Out.Usage.Window = Options.UsageWindow;
   Out.CatalogProofFor = Options.CatalogProofFor;
   Out.Memory = std::move(Memory);
@@ -129,6 +130,13 @@
   });
 }
 
+void TrafficThread::setFigures(dispatch::FigureTablePtr New,
+                               base::TimePoint At) {
+  asio::post(this->Loop, [this, New = std::move(New), At] {
+    this->Forwarder->setFigures(*New, At);
+  });
+}
+
 void TrafficThread::setSuspects(dispatch::SuspectParts New) {
   asio::post(this->Loop, [this, New = std::move(New)] {
     this->Forwarder->setSuspects(New);
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -10,6 +10,7 @@
 #include "base/log.h"
 #include "base/settings.h"
 #include "dispatch/retrybudget.h"
+#include "pacing/targetsample.h"
 #include "residency/capacity.h"
 #include "residency/holderlease.h"
 
@@ -56,6 +57,8 @@
   std::chrono::milliseconds CatalogProofFor{1800};
   /// The span over which accounts' limits hold.
   std::chrono::milliseconds UsageWindow{8000};
+  /// Of which targets all instances together learn the load and the speed.
+  pacing::SamplingMode Sampling = pacing::SamplingMode::WhereSlownessIsStated;
   base::LogLevel Level = base::LogLevel::Info;
 
   residency::HolderLeaseSettings lease() const;
--- a/src/routing/targetview.h
+++ b/src/routing/targetview.h
@@ -77,6 +77,11 @@
     this->Target = std::move(NewSettings);
   }
 
+  /// Sets the time constant by which the load of others is discounted. It may
+  /// be long where reports are frequent, as requests stay for seconds.
+  void setReportDecay(std::chrono::milliseconds Decay) {
+    this->Limits.ReportDecay = Decay;
+  }
   /// Stores a report; ignores it if it is older than the last.
   void reported(const LoadReport &Report);
   void started(base::TimePoint Now);
