The lease holder reports the use of each window to the platform

Change: instances count the requests that begin to run by window and account and report them to the holder, which settles each window once, stores the counts with its lease and sends them only then (src/duties). Windows are those of the time of day on which most instances agree. The setting duties switches it on.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -36,6 +36,11 @@
   dispatch::UsagePoolSettings Usage;
   catalog::TargetTableSettings Targets;
   pacing::TargetLearnerSettings Learner;
+  /// Set if the use of each window is reported to the platform.
+  std::optional<duties::UsageLedgerSettings> UsageReports;
+  /// An instance that was silent for this long is not expected to report the
+  /// requests of a window.
+  std::chrono::milliseconds SilentForWindows{3000};
   /// How often the figures of targets are worked out and sent: several times
   /// within the duration of a request.
   std::chrono::milliseconds FiguresInterval{100};
@@ -107,11 +112,13 @@
   virtual void leave() = 0;
 };
 
+/// \p Duties may be null if the platform asks for no calls.
 std::unique_ptr<Control>
 makeControl(asio::io_context &Loop, ControlSettings Settings,
             ControlStore &Store, EngineClient &Engines,
             messaging::Messaging &Messages, TrafficPort &Traffic,
-            const base::Clock &Clock, metrics::Registry &Metrics);
+            const base::Clock &Clock, metrics::Registry &Metrics,
+            DutyClient *Duties = nullptr);
 
 } // namespace kingcuphub::control
 
--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -7,6 +7,7 @@
 
 #include "base/error.h"
 #include "catalog/target.h"
+#include "duties/usageledger.h"
 #include "residency/holderlease.h"
 
 #include <functional>
@@ -105,6 +106,29 @@
   virtual void abandonOrders() = 0;
 };
 
+enum class DutyAnswer {
+  Accepted,
+  /// A call with a higher token has been seen.
+  Fenced,
+  /// Nothing was done: the platform refused the call, or it was not sent.
+  Refused,
+  /// The call may have been carried out, or may be later.
+  Unknown,
+};
+
+/// Makes the calls that the lease holder owes the platform.
+class DutyClient {
+public:
+  virtual ~DutyClient() = default;
+  /// Reports the use of a window. \p MayStillSend is asked right before the
+  /// call leaves.
+  virtual void reportUsage(const duties::UsageReport &Report,
+                           residency::FencingToken Token,
+                           const base::InstanceId &Holder,
+                           std::function<bool()> MayStillSend,
+                           std::function<void(DutyAnswer)> Done) = 0;
+};
+
 } // namespace kingcuphub::control
 
 #endif // KINGCUPHUB_CONTROL_CONTROLSTORE_H
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -5,6 +5,7 @@
 #include "cataloglag.h"
 #include "catalogproof.h"
 #include "control/unsettledorders.h"
+#include "duties/beguncounts.h"
 #include "figuremessages.h"
 #include "holderrole.h"
 #include "residency/lagdetector.h"
@@ -21,20 +22,25 @@
 /// The number of reports whose send times are kept: more than are sent in the
 /// time in which an answer is of use.
 constexpr std::size_t MaxPendingReports = 256;
+/// Windows of use that are kept for a new holder: more than pass until their
+/// reports are due.
+constexpr std::uint64_t WindowsKept = 6;
 
 class ControlImpl final : public Control {
 public:
   ControlImpl(asio::io_context &Loop, ControlSettings NewSettings,
               ControlStore &Store, EngineClient &Engines,
               messaging::Messaging &Messages, TrafficPort &Traffic,
-              const base::Clock &Clock, metrics::Registry &Metrics)
+              const base::Clock &Clock, metrics::Registry &Metrics,
+              DutyClient *Duties)
       : Settings(std::move(NewSettings)), Store(Store), Messages(Messages),
         Traffic(Traffic), Clock(Clock), Metrics(Metrics),
         Table(this->Settings.Targets),
         Lease(this->Settings.Self, this->Settings.Incarnation,
               this->Settings.LinkEndpoint, this->Settings.Lease,
               std::random_device{}(), this->Clock.now()),
-        Role(Loop, this->Settings, Engines, this->Lease, Clock, Metrics),
+        Role(Loop, this->Settings, Engines, this->Lease, Clock, Metrics,
+             Duties),
         TickTimer(Loop), ReportTimer(Loop) {}
 
   ControlImpl(const ControlImpl &) = delete;
@@ -462,15 +468,47 @@
     writeUse(Use, Out);
     writeSamples(Use.Samples, this->Clock.now(), Out);
     writeEvidence(Use.Evidence, this->Clock.now(), Out);
+    this->addBegun(Use, Out);
     this->Link->send(Out.SerializeAsString());
   }
 
+  /// Adds the requests that began in windows that have ended.
+  void addBegun(const forwarding::TrafficUse &Use, wire::InstanceReport &To) {
+    if (!this->Settings.UsageReports)
+      return;
+    for (const auto &[Window, Counts] : Use.Begun)
+      this->Begun.add(Window, Counts);
+    To.set_wall_clock_ms(this->Clock.wallNow().time_since_epoch().count());
+    duties::WindowId Current = duties::windowAt(
+        std::chrono::duration_cast<duties::WallMillis>(
+            this->Clock.now().time_since_epoch() + this->WallOffset),
+        this->Settings.UsageReports->WindowLength);
+    To.set_begun_through(Current.Value - 1);
+    for (const auto &[Window, Counts] : this->Begun.unconfirmed(Current))
+      for (const auto &[Account, Count] : Counts) {
+        wire::BegunCount &Out = *To.add_begun();
+        Out.set_window(Window.Value);
+        Out.set_account(Account.Value);
+        Out.set_count(Count);
+      }
+  }
+
+  void applyDuties(const wire::HolderReply &Reply, base::TimePoint Now) {
+    if (Reply.wall_clock_ms() <= 0)
+      return;
+    this->WallOffset = std::chrono::milliseconds(Reply.wall_clock_ms()) -
+                       Now.time_since_epoch();
+    this->Traffic.setWallOffset(this->WallOffset);
+    this->Begun.onConfirmed({Reply.begun_through()});
+  }
+
   /// Discards what the previous holder sent, and reports to the new holder what
   /// was admitted under the previous one.
   void onNewHolder() {
     this->Held.forget();
     this->Listed.forget();
     this->Suspects.forget();
+    this->Begun.onNewHolder();
     this->Traffic.changeHolder(
         [this,
          Live = this->Alive](const std::vector<dispatch::UsedAmount> &Used) {
@@ -543,6 +581,7 @@
         this->Suspects.apply(readSuspects(Reply, Now)))
       this->Traffic.setSuspects(this->Suspects.values());
     this->applyFigures(Reply, Now);
+    this->applyDuties(Reply, Now);
     if (Reply.instances() > 0)
       this->Traffic.setInstances(Reply.instances());
     this->Traffic.onCredits(readGrants(Reply));
@@ -585,6 +624,10 @@
       std::make_shared<const catalog::SharedHeldStates>();
   ListedReceiver Listed;
   SuspectsReceiver Suspects;
+  duties::BegunReport Begun{WindowsKept};
+  /// Time of day, less monotonic time, on which most instances agree.
+  base::Duration WallOffset = this->Clock.wallNow().time_since_epoch() -
+                              this->Clock.now().time_since_epoch();
   base::TimePoint ListedAt;
   /// When the latest reports were sent, by report number.
   std::map<std::uint64_t, base::TimePoint> ReportSendTimes;
@@ -592,14 +635,13 @@
 
 } // namespace
 
-std::unique_ptr<Control>
-makeControl(asio::io_context &Loop, ControlSettings Settings,
-            ControlStore &Store, EngineClient &Engines,
-            messaging::Messaging &Messages, TrafficPort &Traffic,
-            const base::Clock &Clock, metrics::Registry &Metrics) {
+std::unique_ptr<Control> makeControl(
+    asio::io_context &Loop, ControlSettings Settings, ControlStore &Store,
+    EngineClient &Engines, messaging::Messaging &Messages, TrafficPort &Traffic,
+    const base::Clock &Clock, metrics::Registry &Metrics, DutyClient *Duties) {
   return std::make_unique<ControlImpl>(Loop, std::move(Settings), Store,
                                        Engines, Messages, Traffic, Clock,
-                                       Metrics);
+                                       Metrics, Duties);
 }
 
 } // namespace kingcuphub::control
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -12,10 +12,13 @@
 
 HolderRole::HolderRole(asio::io_context &Loop, const ControlSettings &Settings,
                        EngineClient &Engines, residency::HolderLease &Lease,
-                       const base::Clock &Clock, metrics::Registry &Metrics)
+                       const base::Clock &Clock, metrics::Registry &Metrics,
+                       DutyClient *Duties)
     : Settings(Settings), Engines(Engines), Lease(Lease), Clock(Clock),
       Metrics(Metrics), Holder(Settings.Holder), Usage(Settings.Usage),
-      Learner(Settings.Learner), PlanTimer(Loop), PublishTimer(Loop) {}
+      Learner(Settings.Learner),
+      Reporter(Settings, Duties, Lease, Clock, Metrics), PlanTimer(Loop),
+      PublishTimer(Loop) {}
 
 base::Result<void> HolderRole::listen(messaging::Messaging &Messages) {
   auto Started = Messages.serve(
@@ -62,8 +65,10 @@
     this->Lost = LostLease{*this->Token, Now};
   this->Token = Held;
   this->Holder.setLease(Held, Now);
-  if (!Held)
+  if (!Held) {
+    this->Reporter.stop();
     return this->Engines.abandonOrders();
+  }
   this->Metrics.counter("lease_gained").add();
   this->HeldSince = Now;
   this->Instances.clear();
@@ -78,6 +83,7 @@
   std::string State =
       this->Lease.record() ? this->Lease.record()->State : std::string();
   this->Crashes.restore(readHolderState(State, Now), Now);
+  this->Reporter.start(*Held, State);
   this->Lease.setState(std::move(State));
   this->LeftQuarantined.clear();
   this->updateSuspects();
@@ -171,6 +177,7 @@
   wire::HolderReply Reply = this->newReply(Now);
   Reply.set_number(Report.number());
   this->addFigures(Instance, Reply);
+  this->Reporter.onReport(Report, Reply);
   // Revisions of a previous holder's data mean nothing here.
   bool SameHolder = Report.held_token() == this->Token->Value;
   if (std::uint64_t Known = SameHolder ? Report.held_revision() : 0;
@@ -254,14 +261,29 @@
   dispatch::SuspectParts Quarantined = this->Crashes.quarantined();
   this->Metrics.counter("quarantined_parts")
       .set(static_cast<std::int64_t>(Quarantined.size()));
-  if (Quarantined != this->LeftQuarantined)
-    this->Lease.setState(writeHolderState(Quarantined, Now));
-  this->LeftQuarantined = std::move(Quarantined);
+  if (std::exchange(this->LeftQuarantined, Quarantined) != Quarantined)
+    this->setLeftState();
   wire::HolderReply Message = this->newReply(Now);
   writeSuspects(this->Suspects.since(Before), Now, Message);
   this->broadcast(Message);
 }
 
+void HolderRole::setLeftState() {
+  this->Lease.setState(writeHolderState(
+      this->LeftQuarantined, this->Reporter.reports(), this->Clock.now()));
+}
+
+void HolderRole::tickDuties(base::TimePoint Now) {
+  if (!this->Reporter.enabled())
+    return;
+  std::set<base::InstanceId> Expected;
+  for (const auto &[Id, Each] : this->Instances)
+    if (Now < Each.HeardAt + this->Settings.SilentForWindows)
+      Expected.insert(Id);
+  if (this->Reporter.tick(Expected))
+    this->setLeftState();
+}
+
 void HolderRole::logChange(const dispatch::QuarantineChange &Change) const {
   nlohmann::json Ends = nlohmann::json::array();
   for (const auto &[Target, Lifetime] : Change.Ends)
@@ -339,6 +361,7 @@
   for (const residency::HolderCommand &Each : this->Holder.tick(Begun, Gate))
     this->carryOut(Each);
   this->updateSuspects();
+  this->tickDuties(Begun);
   this->publish();
   base::Duration Took = this->Clock.now() - Begun;
   this->Metrics.histogram("plan_ms").add(Took);
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -11,6 +11,7 @@
 #include "linkmessages.h"
 #include "pacing/targetlearner.h"
 #include "residency/capacity.h"
+#include "usagereporter.h"
 
 #include <asio/steady_timer.hpp>
 #include <map>
@@ -21,7 +22,8 @@
 public:
   HolderRole(asio::io_context &Loop, const ControlSettings &Settings,
              EngineClient &Engines, residency::HolderLease &Lease,
-             const base::Clock &Clock, metrics::Registry &Metrics);
+             const base::Clock &Clock, metrics::Registry &Metrics,
+             DutyClient *Duties);
 
   /// Opens the socket on which instances report.
   base::Result<void> listen(messaging::Messaging &Messages);
@@ -74,6 +76,9 @@
   void logChange(const dispatch::QuarantineChange &Change) const;
   void addCreditGrants(const wire::InstanceReport &Report,
                        wire::HolderReply &To);
+  /// Sets what the next holder takes over.
+  void setLeftState();
+  void tickDuties(base::TimePoint Now);
   void updateInstanceCounts(base::TimePoint Now);
   /// Runs a planning round as soon as the minimum interval allows.
   void requestPlan();
@@ -134,6 +139,7 @@
   SuspectsSource Suspects;
   /// As in the state that was last set for the next holder.
   dispatch::SuspectParts LeftQuarantined;
+  UsageReporter Reporter;
   std::optional<base::TimePoint> TargetsReadAt;
   base::TimePoint CatalogProvenAt;
   asio::steady_timer PlanTimer;
--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -342,8 +342,16 @@
 }
 
 std::string writeHolderState(const dispatch::SuspectParts &Quarantined,
+                             const std::vector<duties::UsageReport> &Usage,
                              base::TimePoint Now) {
   wire::HolderState Out;
+  for (const duties::UsageReport &Each : Usage) {
+    wire::UsageReport &Report = *Out.add_usage();
+    Report.set_window(Each.Window.Value);
+    Report.set_accepted(Each.Accepted);
+    for (const auto &[Account, Count] : Each.Counts)
+      (*Report.mutable_counts())[Account.Value] = Count;
+  }
   for (const auto &[Part, Each] : Quarantined)
     writeSuspect(Part, Each, Now, *Out.add_quarantined());
   return Out.SerializeAsString();
@@ -363,6 +371,22 @@
   return Out;
 }
 
+std::vector<duties::UsageReport> readUsageReports(const std::string &Bytes) {
+  std::vector<duties::UsageReport> Out;
+  wire::HolderState From;
+  // An unreadable state is logged by readHolderState().
+  if (!From.ParseFromString(Bytes))
+    return Out;
+  for (const wire::UsageReport &Each : From.usage()) {
+    duties::UsageReport &New = Out.emplace_back();
+    New.Window.Value = Each.window();
+    New.Accepted = Each.accepted();
+    for (const auto &[Account, Count] : Each.counts())
+      New.Counts[{Account}] = Count;
+  }
+  return Out;
+}
+
 void writeLoading(const LoadingModels &Loading, base::TimePoint Now,
                   wire::HolderReply &To) {
   for (const auto &[Key, At] : Loading) {
--- a/src/control/internal/linkmessages.h
+++ b/src/control/internal/linkmessages.h
@@ -6,6 +6,7 @@
 /// types.
 
 #include "delta.h"
+#include "duties/usageledger.h"
 #include "forwarding/forwarder.h"
 
 #include <fleet.pb.h>
@@ -68,11 +69,15 @@
 
 /// The state that a holder leaves to the next one in the record of the lease.
 std::string writeHolderState(const dispatch::SuspectParts &Quarantined,
+                             const std::vector<duties::UsageReport> &Usage,
                              base::TimePoint Now);
 /// Logs a state that can't be read, and returns nothing of it.
 dispatch::SuspectParts readHolderState(const std::string &Bytes,
                                        base::TimePoint Now);
 
+/// The reports of use in that state; none if it can't be read.
+std::vector<duties::UsageReport> readUsageReports(const std::string &Bytes);
+
 using LoadingModels = std::map<dispatch::ServiceModel, base::TimePoint>;
 
 void writeLoading(const LoadingModels &Loading, base::TimePoint Now,
--- /dev/null
+++ b/src/control/internal/usagereporter.cpp
@@ -0,0 +1,135 @@
+#include "usagereporter.h"
+
+#include "base/log.h"
+#include "linkmessages.h"
+
+namespace kingcuphub::control {
+
+namespace {
+
+/// All reports of use are one subject: holders take turns there as at an
+/// engine.
+const base::TargetId &subject() {
+  static const base::TargetId Out{"duty/usage"};
+  return Out;
+}
+
+std::string_view answerName(DutyAnswer Answer) {
+  switch (Answer) {
+  case DutyAnswer::Accepted:
+    return "accepted";
+  case DutyAnswer::Fenced:
+    return "fenced";
+  case DutyAnswer::Refused:
+    return "refused";
+  case DutyAnswer::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+UsageReporter::UsageReporter(const ControlSettings &Settings,
+                             DutyClient *Client, residency::HolderLease &Lease,
+                             const base::Clock &Clock,
+                             metrics::Registry &Metrics)
+    : Settings(Settings), Client(Client), Lease(Lease), Clock(Clock),
+      Metrics(Metrics),
+      Ledger(Settings.UsageReports.value_or(duties::UsageLedgerSettings{})) {}
+
+void UsageReporter::start(residency::FencingToken NewToken,
+                          const std::string &State) {
+  this->Token = NewToken;
+  // A lapsed lease that is renewed late goes on with what was counted.
+  if (std::exchange(this->StartedUnder, NewToken) == NewToken)
+    return;
+  this->FleetTime.clear();
+  this->Started = false;
+  this->StoredState.clear();
+  this->Inherited = readUsageReports(State);
+}
+
+void UsageReporter::onReport(const wire::InstanceReport &Report,
+                             wire::HolderReply &Reply) {
+  if (!this->enabled() || Report.wall_clock_ms() <= 0)
+    return;
+  base::TimePoint Now = this->Clock.now();
+  this->FleetTime.onReported({Report.instance()},
+                             duties::WallMillis(Report.wall_clock_ms()), Now);
+  duties::WallMillis Wall = *this->FleetTime.wallAt(Now);
+  Reply.set_wall_clock_ms(Wall.count());
+  if (!std::exchange(this->Started, true))
+    this->Ledger.start(std::move(this->Inherited), Wall);
+  std::map<duties::WindowId, duties::BegunCounts> Begun;
+  for (const wire::BegunCount &Each : Report.begun())
+    Begun[{Each.window()}][{Each.account()}] = Each.count();
+  this->Ledger.onCounts({Report.instance()}, {Report.begun_through()}, Begun);
+  Reply.set_begun_through(Report.begun_through());
+}
+
+bool UsageReporter::tick(const std::set<base::InstanceId> &Instances) {
+  base::TimePoint Now = this->Clock.now();
+  auto Wall = this->FleetTime.wallAt(Now);
+  if (!this->enabled() || !this->Token || !this->Started || !Wall)
+    return false;
+  bool HasChanged = this->Ledger.settle(Instances, *Wall);
+  if (this->Lease.claimedHere() &&
+      this->StoredState != this->Lease.record()->State) {
+    this->StoredState = this->Lease.record()->State;
+    this->Ledger.onStored(readUsageReports(this->StoredState));
+  }
+  if (this->Lease.orderToken(subject(), Now) == this->Token)
+    if (auto Due = this->Ledger.takeDue(*Wall))
+      this->send(*Due);
+  return std::exchange(this->Changed, false) || HasChanged;
+}
+
+void UsageReporter::send(const duties::UsageReport &Report) {
+  base::TimePoint Now = this->Clock.now();
+  residency::FencingToken SentUnder = *this->Token;
+  base::logEvent(base::LogLevel::Info, "duty-sent",
+                 {{"duty", "usage"},
+                  {"window", Report.Window.Value},
+                  {"accounts", Report.Counts.size()},
+                  {"token", SentUnder.Value}});
+  this->Lease.onOrderSent(subject(), {}, Now);
+  this->Client->reportUsage(
+      Report, SentUnder, this->Settings.Self,
+      [this, Live = this->Alive, SentUnder] {
+        return *Live && this->Lease.orderToken(subject(), this->Clock.now()) ==
+                            SentUnder;
+      },
+      [this, Live = this->Alive, Report, SentUnder](DutyAnswer Answer) {
+        if (*Live)
+          this->onAnswer(Report, SentUnder, Answer);
+      });
+}
+
+void UsageReporter::onAnswer(const duties::UsageReport &Report,
+                             residency::FencingToken SentUnder,
+                             DutyAnswer Answer) {
+  base::TimePoint Now = this->Clock.now();
+  base::logEvent(base::LogLevel::Info, "duty-answered",
+                 {{"duty", "usage"},
+                  {"window", Report.Window.Value},
+                  {"token", SentUnder.Value},
+                  {"answer", answerName(Answer)}});
+  this->Metrics
+      .counter("duties",
+               {{"duty", "usage"}, {"answer", std::string(answerName(Answer))}})
+      .add();
+  this->Lease.onOrderEnded(subject());
+  if (Answer == DutyAnswer::Unknown)
+    this->Lease.onOrderCut(subject(), Now);
+  else
+    this->Lease.onOrderSettled(subject(), Now);
+  if (Answer == DutyAnswer::Fenced && SentUnder == this->Token)
+    this->Lease.onFenced();
+  if (SentUnder != this->StartedUnder)
+    return;
+  this->Ledger.onSent(Report.Window, Answer == DutyAnswer::Accepted);
+  this->Changed = this->Changed || Answer == DutyAnswer::Accepted;
+}
+
+} // namespace kingcuphub::control
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -14,6 +14,7 @@
 #include "dispatch/targetselector.h"
 #include "dispatch/usageadmission.h"
 #include "dispatch/waitpolicy.h"
+#include "duties/window.h"
 #include "forwarding/dialect.h"
 #include "http/forwardclient.h"
 #include "http/httpserver.h"
@@ -35,6 +36,9 @@
   dispatch::UsageAdmissionSettings Usage;
   dispatch::PromptQuarantineSettings Quarantine;
   pacing::SamplingMode Sampling = pacing::SamplingMode::WhereSlownessIsStated;
+  /// Length of the windows in which requests that begin to run are counted;
+  /// none are counted without it.
+  std::optional<std::chrono::milliseconds> CountWindow;
   /// Fraction of the caller's patience that a request may wait for its
   /// account's tokens; a request that starts later would miss its objective.
   double TokenWaitFraction = 0.15;
@@ -69,6 +73,8 @@
 struct TrafficUse {
   std::vector<residency::ItemUse> Items;
   std::vector<pacing::TargetSample> Samples;
+  /// Requests that have begun to run.
+  std::map<duties::WindowId, duties::BegunCounts> Begun;
   dispatch::CrashEvidence Evidence;
 };
 
@@ -106,6 +112,8 @@
   virtual void setInstances(unsigned Count) = 0;
   virtual void setHeld(catalog::SharedHeldStatesPtr Held,
                        base::TimePoint Until) = 0;
+  /// Sets the time of day, less monotonic time, on which most instances agree.
+  virtual void setWallOffset(base::Duration New) = 0;
   /// Sets what the lease holder has published about targets at \p At.
   virtual void setFigures(const dispatch::FigureTable &New,
                           base::TimePoint At) = 0;
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -532,6 +532,8 @@
     this->RefusedOn.insert(this->Call->connection());
     return;
   }
+  if (this->Account != nullptr && !std::exchange(this->CountedAsBegun, true))
+    this->Context.countBegun(this->Account->Id, this->now());
   bool Success = isSuccess(NewHead.Status);
   if (Success && !Said.Proven) {
     this->failAttempt("unproven-answer");
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -181,6 +181,7 @@
   unsigned Attempt = 0;
   pacing::SentAttempt SentAs;
   bool AnswerTimed = false;
+  bool CountedAsBegun = false;
   /// Attempts that may have run the request, and attempts that were refused
   /// without running it.
   unsigned Runs = 0;
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -121,6 +121,10 @@
       this->serveQueue();
   }
 
+  void setWallOffset(base::Duration New) override {
+    this->Context.WallOffset = New;
+  }
+
   void setFigures(const dispatch::FigureTable &New,
                   base::TimePoint At) override {
     this->Context.Selector.setFigures(New, At);
@@ -168,6 +172,7 @@
       Out.Items.push_back(Use);
     }
     Out.Samples = this->Context.Samples.take();
+    Out.Begun = std::exchange(this->Context.Begun, {});
     Out.Evidence =
         this->Context.Quarantine.takeEvidence(this->Context.Clock.now());
     return Out;
--- a/src/forwarding/internal/trafficcontext.h
+++ b/src/forwarding/internal/trafficcontext.h
@@ -41,7 +41,18 @@
                  [this](dispatch::TargetEnd End) {
                    this->onTargetEnd(std::move(End));
                  }),
-        Random(std::random_device{}()) {}
+        Random(std::random_device{}()),
+        WallOffset(Clock.wallNow().time_since_epoch() -
+                   Clock.now().time_since_epoch()) {}
+
+  /// Counts a request of \p Account that begins to run at \p Now.
+  void countBegun(const base::AccountId &Account, base::TimePoint Now) {
+    if (!this->Settings.CountWindow)
+      return;
+    auto Wall = std::chrono::duration_cast<duties::WallMillis>(
+        Now.time_since_epoch() + this->WallOffset);
+    ++this->Begun[duties::windowAt(Wall, *this->Settings.CountWindow)][Account];
+  }
 
   void onTargetEnd(dispatch::TargetEnd End) {
     base::logEvent(base::LogLevel::Warn, "target-ended",
@@ -69,6 +80,9 @@
   AnswerLimits AnswerSizes;
   TargetEndCheck EndCheck;
   std::mt19937_64 Random;
+  /// Time of day less monotonic time.
+  base::Duration WallOffset;
+  std::map<duties::WindowId, duties::BegunCounts> Begun;
   catalog::CatalogPtr Catalog;
   /// The last time at which the catalog was known to be the newest.
   base::TimePoint CatalogProvenAt;
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -28,6 +28,9 @@
       asio::io_context &, http::HttpClient &,
       const residency::HolderLeaseSettings &)>
       MakeEngines;
+  std::function<std::unique_ptr<control::DutyClient>(http::HttpClient &,
+                                                     const DutySettings &)>
+      MakeDuties;
 };
 
 class Instance {
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -28,6 +28,9 @@
         Store(this->Speaks.MakeStore(Loop, *this->Http, this->Options.Store)),
         Engines(
             this->Speaks.MakeEngines(Loop, *this->Http, this->Options.lease())),
+        Duties(this->Options.Duties && this->Speaks.MakeDuties
+                   ? this->Speaks.MakeDuties(*this->Http, *this->Options.Duties)
+                   : nullptr),
         Traffic(Loop, this->Options, *this->Speaks.Protocol, Clock,
                 this->Metrics,
                 {[this] { this->Control->reportSoon(); },
@@ -42,9 +45,10 @@
     if (!Links)
       return tl::unexpected(Links.error());
     this->Messages = std::move(*Links);
-    this->Control = control::makeControl(
-        this->Loop, this->controlSettings(), *this->Store, *this->Engines,
-        *this->Messages, this->Traffic, this->Clock, this->Metrics);
+    this->Control =
+        control::makeControl(this->Loop, this->controlSettings(), *this->Store,
+                             *this->Engines, *this->Messages, this->Traffic,
+                             this->Clock, this->Metrics, this->Duties.get());
     this->Control->onReady([this] {
       this->Ready = true;
       base::logEvent(base::LogLevel::Info, "ready", {});
@@ -90,6 +94,11 @@
     Out.LinkEndpoint = "tcp://" + this->Options.Link.text();
     Out.Lease = this->Options.lease();
     Out.Usage.Window = this->Options.UsageWindow;
+    if (const auto &Owed = this->Options.Duties; Owed && Owed->ReportsUsage) {
+      Out.UsageReports.emplace();
+      Out.UsageReports->WindowLength = Owed->UsageWindow;
+      Out.UsageReports->SettleAtLatest = Owed->UsageDueAfter / 2;
+    }
     return Out;
   }
 
@@ -162,6 +171,7 @@
   std::unique_ptr<http::HttpClient> Http;
   std::unique_ptr<control::ControlStore> Store;
   std::unique_ptr<control::EngineClient> Engines;
+  std::unique_ptr<control::DutyClient> Duties;
   std::unique_ptr<messaging::Messaging> Messages;
   TrafficThread Traffic;
   std::unique_ptr<control::Control> Control;
--- a/src/instance/internal/settings.cpp
+++ b/src/instance/internal/settings.cpp
@@ -1,5 +1,7 @@
 #include "instance/settings.h"
 
+#include <algorithm>
+
 namespace kingcuphub::instance {
 
 namespace {
@@ -23,6 +25,24 @@
 constexpr std::int64_t MostMegabytes = 1 << 20;
 constexpr std::size_t Megabyte = 1U << 20U;
 
+base::Endpoint requiredEndpoint(base::SettingsReader &Reader,
+                                const std::string &Name) {
+  if (!Reader.has(Name))
+    Reader.problem(Name, "nothing", "write ADDRESS:PORT");
+  return base::readEndpoint(Reader, Name, "127.0.0.1:0");
+}
+
+void readDuties(base::SettingsReader &Reader, DutySettings &To) {
+  constexpr const char *Usage = "usage";
+  To.Address = requiredEndpoint(Reader, "address");
+  std::vector<std::string> Calls = Reader.texts("calls");
+  To.ReportsUsage = std::find(Calls.begin(), Calls.end(), Usage) != Calls.end();
+  To.UsageWindow = Reader.millis("usage_window_ms", To.UsageWindow,
+                                 ShortestWindow, LongestWindow);
+  To.UsageDueAfter = Reader.millis("usage_due_after_ms", To.UsageDueAfter,
+                                   ShortestWindow, LongestWindow);
+}
+
 pacing::SamplingMode readSampling(base::SettingsReader &Reader) {
   std::string Text =
       Reader.oneOf("target_figures", "stated", {"off", "stated", "all"});
@@ -32,13 +52,6 @@
                        : pacing::SamplingMode::WhereSlownessIsStated;
 }
 
-base::Endpoint requiredEndpoint(base::SettingsReader &Reader,
-                                const std::string &Name) {
-  if (!Reader.has(Name))
-    Reader.problem(Name, "nothing", "write ADDRESS:PORT");
-  return base::readEndpoint(Reader, Name, "127.0.0.1:0");
-}
-
 void readStop(base::SettingsReader &Reader, StopSettings &To) {
   To.Grace = Reader.millis("grace_ms", To.Grace, ShortestGrace, LongestGrace);
   To.AcceptFor = Reader.millis("accept_for_ms", To.AcceptFor, milliseconds(0),
@@ -111,6 +124,10 @@
   Reader.object("capacity", [&Out](base::SettingsReader &Nested) {
     readCapacity(Nested, Out);
   });
+  if (Reader.has("duties"))
+    Reader.object("duties", [&Out](base::SettingsReader &Nested) {
+      readDuties(Nested, Out.Duties.emplace());
+    });
   Reader.object("stop", [&Out](base::SettingsReader &Nested) {
     readStop(Nested, Out.Stop);
   });
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -15,6 +15,8 @@
   Out.Quarantine.Self = Options.Name;
   Out.Retries = Options.Repeats;
   Out.Sampling = Options.Sampling;
+  if (Options.Duties && Options.Duties->ReportsUsage)
+    Out.CountWindow = Options.Duties->UsageWindow;
   Out.Usage.Window = Options.UsageWindow;
   Out.CatalogProofFor = Options.CatalogProofFor;
   Out.Memory = std::move(Memory);
@@ -130,6 +132,10 @@
   });
 }
 
+void TrafficThread::setWallOffset(base::Duration New) {
+  asio::post(this->Loop, [this, New] { this->Forwarder->setWallOffset(New); });
+}
+
 void TrafficThread::setFigures(dispatch::FigureTablePtr New,
                                base::TimePoint At) {
   asio::post(this->Loop, [this, New = std::move(New), At] {
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -16,6 +16,7 @@
 
 #include <chrono>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 namespace kingcuphub::instance {
@@ -31,6 +32,16 @@
   std::chrono::milliseconds Reserve{400};
 };
 
+/// Calls to the platform that the lease holder owes.
+struct DutySettings {
+  base::Endpoint Address;
+  /// Whether the use of each window is reported.
+  bool ReportsUsage = false;
+  std::chrono::milliseconds UsageWindow{5000};
+  /// How long after its end a window's report is due.
+  std::chrono::milliseconds UsageDueAfter{10000};
+};
+
 struct Settings {
   base::InstanceId Name;
   base::ZoneId Zone;
@@ -57,6 +68,7 @@
   std::chrono::milliseconds CatalogProofFor{1800};
   /// The span over which accounts' limits hold.
   std::chrono::milliseconds UsageWindow{8000};
+  std::optional<DutySettings> Duties;
   /// Of which targets all instances together learn the load and the speed.
   pacing::SamplingMode Sampling = pacing::SamplingMode::WhereSlownessIsStated;
   base::LogLevel Level = base::LogLevel::Info;
