A store that comes back from an older copy gives no lease twice

The fencing token is the offset after the claim, so that offsets that are given out again gave a token twice, and an end of the log that went back was ignored for ever. Change: positions in the lease's log and tokens have the era in their upper part. Records of an earlier era prove nothing: others wait a whole lease, the holder claims at once and writes its state again. Reports of use that may have been sent are not made again.

--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -44,6 +44,9 @@
                      residency::LeaseLogEnd)>
       OnLease;
   std::function<void(const StoreHealth &)> OnHealth;
+  /// The store has come back from an older copy: targets that it does not list
+  /// may still be there.
+  std::function<void()> OnRestored;
 };
 
 enum class AppendResult {
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -78,6 +78,10 @@
     Events.OnHealth = [this](const StoreHealth &Health) {
       this->onHealth(Health);
     };
+    Events.OnRestored = [this] {
+      this->Table.onOutage(this->Clock.now());
+      this->Metrics.counter("store_restored").add();
+    };
     this->Store.start(std::move(Events));
     this->TickedAt = this->Clock.now();
     this->tick();
--- a/src/control/internal/usagereporter.cpp
+++ b/src/control/internal/usagereporter.cpp
@@ -60,7 +60,8 @@
   duties::WallMillis Wall = *this->FleetTime.wallAt(Now);
   Reply.set_wall_clock_ms(Wall.count());
   if (!std::exchange(this->Started, true))
-    this->Ledger.start(std::move(this->Inherited), Wall);
+    this->Ledger.start(std::move(this->Inherited), Wall,
+                       this->Lease.followsLostRecords());
   std::map<duties::WindowId, duties::BegunCounts> Begun;
   for (const wire::BegunCount &Each : Report.begun())
     Begun[{Each.window()}][{Each.account()}] = Each.count();
--- a/src/duties/internal/usageledger.cpp
+++ b/src/duties/internal/usageledger.cpp
@@ -5,7 +5,8 @@
 
 namespace kingcuphub::duties {
 
-void UsageLedger::start(std::vector<UsageReport> Left, WallMillis Now) {
+void UsageLedger::start(std::vector<UsageReport> Left, WallMillis Now,
+                        bool MayBeIncomplete) {
   UsageLedgerSettings Kept = this->Settings;
   *this = UsageLedger(Kept);
   this->Reports = std::move(Left);
@@ -19,6 +20,9 @@
   this->From = windowAt(Oldest, this->Settings.WindowLength);
   if (this->Settled)
     this->From = std::max(*this->From, WindowId{this->Settled->Value + 1});
+  if (MayBeIncomplete)
+    this->From =
+        std::max(*this->From, windowAt(Now, this->Settings.WindowLength));
 }
 
 UsageReport *UsageLedger::find(WindowId Window) {
--- a/src/duties/tests/usageledgertest.cpp
+++ b/src/duties/tests/usageledgertest.cpp
@@ -133,6 +133,21 @@
   RC_ASSERT(Sent.size() >= 15U);
 }
 
+// Failure: the store has lost the records of the last seconds, and with them
+// what the holder before may have sent.
+TEST(UsageLedgerTest, WindowsOfAnIncompleteRecordAreLeftOut) {
+  UsageLedger Ledger(settings());
+  Ledger.start({{{98}, {{Acme, 3}}, false}}, inWindow(101, milliseconds(700)),
+               true);
+  Ledger.onCounts(One, {100}, counts(100, 7));
+  Ledger.settle({One}, inWindow(101, milliseconds(800)));
+  EXPECT_EQ(Ledger.reports().size(), 1U);
+  Ledger.onCounts(One, {101}, counts(101, 2));
+  Ledger.settle({One}, inWindow(102, milliseconds(700)));
+  ASSERT_EQ(Ledger.reports().size(), 2U);
+  EXPECT_EQ(Ledger.reports().back().Window.Value, 101U);
+}
+
 // Guards against counts in the wrong window after the time of day has jumped on
 // some instances, the holder among them.
 TEST(FleetClockTest, TheTimeOfMostInstancesCounts) {
--- a/src/duties/usageledger.h
+++ b/src/duties/usageledger.h
@@ -46,8 +46,11 @@
 public:
   explicit UsageLedger(UsageLedgerSettings Settings) : Settings(Settings) {}
 
-  /// Starts as a new holder with what the record of the lease has.
-  void start(std::vector<UsageReport> Left, WallMillis Now);
+  /// Starts as a new holder with what the record of the lease has. With
+  /// \p MayBeIncomplete, an earlier holder may have sent reports that the
+  /// record lacks, so that no window is reported that has begun before.
+  void start(std::vector<UsageReport> Left, WallMillis Now,
+             bool MayBeIncomplete = false);
   /// Handles an instance's complete counts of the windows up to \p Through, of
   /// which \p Begun has those it has not been told are known.
   void onCounts(const base::InstanceId &From, WindowId Through,
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -7,7 +7,13 @@
 /// on condition that nothing has been appended since the last read. The offset
 /// after the claim is the fencing token. A holder counts its lease from the
 /// time at which it sent the accepted renewal; others wait for longer than that
-/// from when they read it. No I/O and no clock.
+/// from when they read it.
+///
+/// Failure: the store comes back from a copy that is some seconds old, in a new
+/// era. Offsets are given out again, so that a position in the log is an era
+/// and an offset, and tokens rise with the era. A record of an earlier era
+/// tells nothing about who has held the lease since: nobody claims it for a
+/// whole lease, except its undoubted holder. No I/O and no clock.
 
 #include "residency/orderledger.h"
 #include "residency/types.h"
@@ -20,9 +26,22 @@
 
 namespace kingcuphub::residency {
 
-/// The position after the newest record of the lease's log.
+/// The position after the newest record of the lease's log: the store's era and
+/// the offset in it.
 using LeaseLogEnd = base::NumberId<struct LeaseLogEndTag>;
 
+constexpr unsigned LogOffsetBits = 40;
+
+constexpr LeaseLogEnd logPosition(std::uint64_t Era, std::uint64_t Offset) {
+  return {(Era << LogOffsetBits) + Offset};
+}
+constexpr std::uint64_t eraOf(std::uint64_t PositionOrToken) {
+  return PositionOrToken >> LogOffsetBits;
+}
+constexpr std::uint64_t offsetOf(LeaseLogEnd Position) {
+  return Position.Value & ((std::uint64_t{1} << LogOffsetBits) - 1);
+}
+
 struct LeaseRecord {
   base::InstanceId Holder;
   base::Incarnation Incarnation;
@@ -207,6 +226,9 @@
   void setState(std::string New);
   bool needsRead() const { return !this->End.has_value(); }
   const std::optional<LeaseRecord> &record() const { return this->Latest; }
+  /// Whether this instance's claim followed a record of an earlier era that was
+  /// not its own valid one, so that what a holder did last is unknown.
+  bool followsLostRecords() const { return this->ClaimFollowsLoss; }
   /// Why the lease is not held; for the log.
   LeaseLoss lossReason() const;
   /// The record that this instance's latest claim followed, if any.
@@ -229,13 +251,19 @@
   };
 
   bool isGivenUp() const;
+  /// Whether the newest known record is of an earlier era, or none is left of
+  /// one.
+  bool isLost() const;
+  /// Whether this instance held the lease when the era changed and nobody else
+  /// can hold it yet.
+  bool mayReclaim(base::TimePoint Now) const;
   /// Whether the newest known record is this machine's, of any incarnation.
   bool isLatestOwn() const;
   /// When the lease may be claimed by the instance without any delay.
   base::TimePoint expiry() const;
-  base::TimePoint earliestClaimTime() const;
+  base::TimePoint earliestClaimTime(base::TimePoint Now) const;
   /// When this instance may order if it claims the lease.
-  base::TimePoint earliestOrderTime() const;
+  base::TimePoint earliestOrderTime(base::TimePoint Now) const;
   /// When no orders of an earlier process of this machine are in transit.
   base::TimePoint transitEnd() const {
     return this->StartedAt + this->Settings.OrderTransit;
@@ -259,6 +287,11 @@
   std::optional<GivenUpLease> GivenUp;
   std::chrono::milliseconds Delay{0};
   base::TimePoint ValidUntil;
+  /// The newest era that was seen.
+  std::uint64_t Era = 0;
+  /// Until when the lease of the era before would have been valid.
+  base::TimePoint ReclaimUntil;
+  bool ClaimFollowsLoss = false;
   base::TimePoint LastSentAt;
   std::optional<base::TimePoint> PendingSince;
   std::deque<Sent> Pending;
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -55,21 +55,36 @@
          this->Latest->Token <= this->GivenUp->Token;
 }
 
+bool HolderLease::isLost() const {
+  return this->Era > 0 &&
+         eraOf(this->Latest ? this->Latest->Token.Value : 0) < this->Era;
+}
+
+bool HolderLease::mayReclaim(base::TimePoint Now) const {
+  return this->isLost() && Now < this->ReclaimUntil;
+}
+
 bool HolderLease::isLatestOwn() const {
-  return this->Latest && this->Latest->Holder == this->Self &&
+  return this->Latest && !this->isLost() &&
+         this->Latest->Holder == this->Self &&
          this->Latest->Endpoint == this->Endpoint;
 }
 
 bool HolderLease::claimedHere() const {
   return this->Latest && !this->Latest->Released && !this->isGivenUp() &&
-         this->Latest->Holder == this->Self &&
+         !this->isLost() && this->Latest->Holder == this->Self &&
          this->Latest->Incarnation == this->Incarnation;
 }
 
 void HolderLease::onRead(const std::optional<LeaseRecord> &Record,
                          LeaseLogEnd NewEnd, base::TimePoint Now) {
-  if (this->End && NewEnd < *this->End)
+  if (eraOf(NewEnd.Value) < this->Era || (this->End && NewEnd < *this->End))
     return;
+  if (eraOf(NewEnd.Value) > this->Era) {
+    if (this->held(Now))
+      this->ReclaimUntil = this->ValidUntil;
+    this->Era = eraOf(NewEnd.Value);
+  }
   bool Changed = !this->End || *this->End != NewEnd;
   if (Changed) {
     this->ChangedAt = Now;
@@ -107,8 +122,9 @@
   this->ReleaseSent = Release;
   Out.Record.Endpoint = this->Endpoint;
   Out.Record.Instances = Instances;
-  // A claim keeps what the previous holder left until it has been read.
-  if (this->claimedHere())
+  // A claim keeps what the previous holder left until it has been read. What
+  // this holder wrote in the era before may be missing there.
+  if (this->claimedHere() || this->mayReclaim(Now))
     Out.Record.State = this->State;
   else if (this->Latest)
     Out.Record.State = this->Latest->State;
@@ -129,9 +145,11 @@
 
 void HolderLease::takeOver(FencingToken Token, base::TimePoint Now) {
   this->Predecessor = this->Latest;
-  this->OrderFrom = this->earliestOrderTime();
-  this->Ledger.onClaim(Token, this->isLatestOwn());
-  if (!this->Latest)
+  this->OrderFrom = this->earliestOrderTime(Now);
+  bool Reclaims = this->mayReclaim(Now);
+  this->ClaimFollowsLoss = this->isLost() && !Reclaims;
+  this->Ledger.onClaim(Token, this->isLatestOwn() || Reclaims);
+  if (!this->Latest || Reclaims)
     return;
   this->Ledger.inherit(this->Latest->Unsettled, this->ChangedAt, Now);
   // The last record of a lapsed lease does not list what was sent after it.
@@ -162,6 +180,8 @@
 }
 
 base::TimePoint HolderLease::expiry() const {
+  if (this->isLost())
+    return this->ChangedAt + this->Settings.Duration + this->Settings.Drift;
   if (!this->Latest || this->Latest->Released)
     return this->ChangedAt;
   if (this->isGivenUp())
@@ -173,7 +193,9 @@
   return ExpiresAt + this->Settings.Drift;
 }
 
-base::TimePoint HolderLease::earliestClaimTime() const {
+base::TimePoint HolderLease::earliestClaimTime(base::TimePoint Now) const {
+  if (this->mayReclaim(Now))
+    return this->ChangedAt;
   bool OwnEarlier =
       this->isLatestOwn() && !this->Latest->Released && !this->isGivenUp();
   // The record is from an earlier incarnation of this instance, which has
@@ -183,10 +205,12 @@
   base::TimePoint From = this->expiry() + this->Delay;
   base::TimePoint Latest = From + this->Settings.DeferDelay;
   return this->Behind ? Latest
-                      : std::clamp(this->earliestOrderTime(), From, Latest);
+                      : std::clamp(this->earliestOrderTime(Now), From, Latest);
 }
 
-base::TimePoint HolderLease::earliestOrderTime() const {
+base::TimePoint HolderLease::earliestOrderTime(base::TimePoint Now) const {
+  if (this->mayReclaim(Now))
+    return this->OrderFrom;
   bool LogIsNew = !this->Latest && this->End == LeaseLogEnd{};
   if (LogIsNew)
     return {};
@@ -254,7 +278,7 @@
       return std::nullopt;
     return this->append(false, Instances, Now);
   }
-  if (Now < this->earliestClaimTime())
+  if (Now < this->earliestClaimTime(Now))
     return std::nullopt;
   return this->append(false, Instances, Now);
 }
--- a/src/residency/tests/holderleasetest.cpp
+++ b/src/residency/tests/holderleasetest.cpp
@@ -45,6 +45,12 @@
 
   void freeze(std::size_t Index, bool Frozen) { this->Frozen[Index] = Frozen; }
   void setReachable(bool Reachable) { this->Reachable = Reachable; }
+  /// The store comes back without its newest \p Count records.
+  void restoreOlderCopy(std::size_t Count) {
+    this->Records.resize(this->Records.size() -
+                         std::min(Count, this->Records.size()));
+    ++this->Era;
+  }
 
   std::size_t HeldSteps = 0;
   static constexpr std::size_t Instances = 4;
@@ -54,17 +60,21 @@
     HolderLease &Lease = this->Leases[Index];
     bool Reads = this->Reachable && this->draw(4) == 0;
     if (Reads)
-      Lease.onRead(this->Record, {this->End}, this->Now);
+      Lease.onRead(this->Records.empty()
+                       ? std::nullopt
+                       : std::make_optional(this->Records.back()),
+                   this->end(), this->Now);
     auto Append = Lease.tick(Instances, this->Now);
     if (!Append)
       return;
-    bool Taken = this->Reachable && Append->At.Value == this->End;
-    if (Taken) {
-      this->Record = Append->Record;
-      ++this->End;
-    }
+    // The store compares offsets only; the era in its answer tells the sender.
+    bool Taken =
+        this->Reachable && offsetOf(Append->At) == this->Records.size();
+    bool SameEra = eraOf(Append->At.Value) == this->Era;
+    if (Taken)
+      this->Records.push_back(Append->Record);
     bool AnswerLost = this->draw(5) == 0;
-    if (Taken && !AnswerLost)
+    if (Taken && SameEra && !AnswerLost)
       Lease.onAppended(*Append, this->Now);
     else
       Lease.onNotAppended(*Append);
@@ -86,6 +96,10 @@
     }
   }
 
+  LeaseLogEnd end() const {
+    return logPosition(this->Era, this->Records.size());
+  }
+
   std::uint64_t draw(std::uint64_t Below) { return this->Random() % Below; }
 
   std::mt19937_64 Random;
@@ -94,8 +108,8 @@
   std::vector<bool> Frozen;
   std::vector<std::optional<FencingToken>> Tokens =
       std::vector<std::optional<FencingToken>>(Instances);
-  std::optional<LeaseRecord> Record;
-  std::uint64_t End = 0;
+  std::vector<LeaseRecord> Records;
+  std::uint64_t Era = 0;
   std::uint64_t Highest = 0;
   bool Reachable = true;
 };
@@ -118,6 +132,23 @@
   }
 }
 
+/// The same while the store comes back from older copies, twice in a second at
+/// times: offsets are given out again, and tokens still rise.
+RC_GTEST_PROP(HolderLeaseTest, AtMostOneHoldsALeaseThatTheStoreLoses, ()) {
+  LeaseSimulation Simulation(*rc::gen::arbitrary<std::uint64_t>());
+  for (int Round = 0; Round < 12; ++Round) {
+    Simulation.freeze(
+        *rc::gen::inRange<std::size_t>(0, LeaseSimulation::Instances),
+        *rc::gen::arbitrary<bool>());
+    int Steps = *rc::gen::inRange(1, 200);
+    for (int Step = 0; Step < Steps; ++Step) {
+      if (*rc::gen::inRange(0, 60) == 0)
+        Simulation.restoreOlderCopy(*rc::gen::inRange<std::size_t>(0, 6));
+      Simulation.step();
+    }
+  }
+}
+
 TEST(HolderLeaseTest, TheLeaseIsHeldMostOfTheTimeWithoutFaults) {
   LeaseSimulation Simulation(3);
   for (int Step = 0; Step < 400; ++Step)
@@ -575,3 +606,50 @@
   EXPECT_FALSE(Lease.tick(1, Now + milliseconds(240)));
   EXPECT_TRUE(Lease.tick(1, Now + milliseconds(250)));
 }
+
+// Guards against a lease that nobody holds for seconds after each loss, and
+// against losing what its holder had left for the next one.
+TEST(HolderLeaseTest, TheHolderClaimsALostLeaseAtOnceAndWritesItsStateAgain) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLease Lease({"a"}, {1}, "a", {}, 1);
+  Lease.onRead(std::nullopt, logPosition(0, 0), Now);
+  Now += milliseconds(600);
+  Lease.onAppended(*Lease.tick(1, Now), Now);
+  FencingToken Before = *Lease.held(Now);
+  Lease.setState("left");
+  Now += milliseconds(300);
+  Lease.onAppended(*Lease.tick(1, Now), Now);
+  // The copy has neither record.
+  Lease.onRead(std::nullopt, logPosition(1, 0), Now);
+  EXPECT_FALSE(Lease.held(Now));
+  auto Claim = Lease.tick(1, Now);
+  ASSERT_TRUE(Claim);
+  EXPECT_EQ(Claim->Record.State, "left");
+  EXPECT_GT(Claim->Record.Token, Before);
+  Lease.onAppended(*Claim, Now);
+  EXPECT_TRUE(Lease.orderToken(Now));
+  EXPECT_FALSE(Lease.followsLostRecords());
+}
+
+// Guards against claiming on the word of an old record while another instance
+// holds the lease by a record that the store has lost.
+TEST(HolderLeaseTest, OthersWaitAWholeLeaseAfterALoss) {
+  base::TimePoint Now{std::chrono::hours(1)};
+  HolderLeaseSettings Settings;
+  for (bool Released : {true, false}) {
+    HolderLease Lease({"a"}, {1}, "a", Settings, 1);
+    LeaseRecord Old = releasedBy("b", {7});
+    Old.Released = Released;
+    Lease.onRead(Old, logPosition(0, 7), Now - std::chrono::seconds(60));
+    Lease.onRead(Old, logPosition(1, 7), Now);
+    base::TimePoint Safe = Now + Settings.Duration + Settings.Drift;
+    EXPECT_FALSE(Lease.tick(1, Safe - milliseconds(1)));
+    auto Claim = Lease.tick(1, Safe + milliseconds(2100));
+    ASSERT_TRUE(Claim);
+    EXPECT_EQ(Claim->Record.Token.Value, logPosition(1, 8).Value);
+    EXPECT_TRUE(Lease.followsLostRecords());
+    // An answer of the earlier era that arrives late changes nothing.
+    Lease.onRead(Old, logPosition(0, 9), Now);
+    EXPECT_EQ(Lease.end(), logPosition(1, 7));
+  }
+}
