Copies of a model grow in proportion to what is asked for

Cause: a model got at most one copy more for each unload in progress, about one a second: one that was asked for 172 to 662 times a second was on 4 to 7 engines for 11 s. Copies were counted, not what they carry. Change: where the engines' slowness is known, the planner compares a model's work and its rise with what its engines carry, and orders all missing copies in one round within the bounds on loads. Busy models go to engines that carry most.

--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -77,6 +77,7 @@
   this->Listed.clear();
   this->Suspects.clear();
   this->Learner.clear();
+  this->Holder.setSlowness({});
   this->Figures.clear();
   this->Crashes.clear();
   // The record of the lease has what the previous holder left.
@@ -205,6 +206,7 @@
     dispatch::FigureTable Table = this->Learner.figures(Now);
     this->Figures = Table.empty() ? std::string() : encodeFigures(Table, Now);
     this->FiguresAt = Now;
+    this->Holder.setSlowness(pacing::slownessOf(Table));
     this->logSlowTargets(Table);
   }
   Peer &Of = this->Instances[Receiver];
--- a/src/pacing/internal/targetlearner.cpp
+++ b/src/pacing/internal/targetlearner.cpp
@@ -161,9 +161,9 @@
 }
 
 std::map<base::TargetId, double>
-TargetLearner::slowness(base::TimePoint Now) const {
+slownessOf(const dispatch::FigureTable &Figures) {
   std::map<base::TargetId, double> Out;
-  for (const auto &[Id, Each] : this->figures(Now))
+  for (const auto &[Id, Each] : Figures)
     Out[Id] = Each.Pace * Each.Slowness;
   return Out;
 }
--- a/src/pacing/targetlearner.h
+++ b/src/pacing/targetlearner.h
@@ -47,8 +47,6 @@
   /// Forgets everything: another holder has learned in the meantime.
   void clear();
   dispatch::FigureTable figures(base::TimePoint Now) const;
-  /// Pace times stated slowness by target; for the placement of models.
-  std::map<base::TargetId, double> slowness(base::TimePoint Now) const;
 
 private:
   struct Entry {
@@ -78,6 +76,11 @@
   std::map<base::TargetId, Entry> Entries;
 };
 
+/// How long work takes at each target relative to usual, for the placement of
+/// models.
+std::map<base::TargetId, double>
+slownessOf(const dispatch::FigureTable &Figures);
+
 } // namespace kingcuphub::pacing
 
 #endif // KINGCUPHUB_PACING_TARGETLEARNER_H
--- a/src/residency/demandtracker.h
+++ b/src/residency/demandtracker.h
@@ -35,6 +35,9 @@
   /// The maximum of Work and the same rate over a longer time; decides which
   /// items are evicted.
   double EvictionWork = 0;
+  /// How much Work exceeds the rate over the longer time: the rise of the last
+  /// seconds.
+  double Rise = 0;
   unsigned Waiting = 0;
   bool Recent = false;
   /// Requested so recently that a request for it may still be running.
--- a/src/residency/holder.h
+++ b/src/residency/holder.h
@@ -59,6 +59,10 @@
   void onReport(const base::TargetId &Id,
                 const std::optional<EngineReport> &Report, base::TimePoint Now);
   void onAnswer(const Order &Sent, OrderAnswer Answer, base::TimePoint Now);
+  /// Sets how long work takes at engines relative to usual, as far as is known.
+  void setSlowness(std::map<base::TargetId, double> New) {
+    this->Slowness = std::move(New);
+  }
   /// Requests reports that are due and gives the orders that \p Gate admits.
   std::vector<HolderCommand> tick(base::TimePoint Now,
                                   const OrderGate &Gate = {});
@@ -66,6 +70,10 @@
   const EngineTracker &engines() const { return this->Engines; }
 
 private:
+  /// Of one service's engines.
+  std::map<base::TargetId, double>
+  slownessOf(const std::vector<EngineView> &Views,
+             const catalog::ServiceId &Service) const;
   void plan(base::TimePoint Now, const OrderGate &Gate,
             std::vector<HolderCommand> &Out);
 
@@ -74,6 +82,7 @@
   std::optional<FencingToken> Token;
   DemandTracker Demand;
   EngineTracker Engines;
+  std::map<base::TargetId, double> Slowness;
   /// One load budget per service, as each service has its own weight store.
   std::map<catalog::ServiceId, placement::LoadBudget> Budgets;
 };
--- a/src/residency/internal/demandtracker.cpp
+++ b/src/residency/internal/demandtracker.cpp
@@ -103,9 +103,10 @@
   const Entry &Rates = Found->second;
   Demand Out;
   Out.Work = Rates.Work * decay(Rates, this->Settings.Smoothing, Now);
-  Out.EvictionWork = std::max(
-      Out.Work,
-      Rates.EvictionWork * decay(Rates, this->Settings.EvictionSmoothing, Now));
+  double LongerWork =
+      Rates.EvictionWork * decay(Rates, this->Settings.EvictionSmoothing, Now);
+  Out.EvictionWork = std::max(Out.Work, LongerWork);
+  Out.Rise = std::max(0.0, Out.Work - LongerWork);
   Out.Recent = Now < Rates.AskedAt + this->Settings.RecentFor;
   Out.InUse = Now < Rates.AskedAt + this->Settings.InUseFor;
   for (const auto &[From, Reported] : Rates.Waiting)
--- a/src/residency/internal/holder.cpp
+++ b/src/residency/internal/holder.cpp
@@ -58,6 +58,17 @@
   return Out;
 }
 
+std::map<base::TargetId, double>
+Holder::slownessOf(const std::vector<EngineView> &Views,
+                   const catalog::ServiceId &Service) const {
+  std::map<base::TargetId, double> Out;
+  for (const EngineView &Each : Views)
+    if (auto Found = this->Slowness.find(Each.Target);
+        Each.Service == Service && Found != this->Slowness.end())
+      Out.insert(*Found);
+  return Out;
+}
+
 void Holder::plan(base::TimePoint Now, const OrderGate &Gate,
                   std::vector<HolderCommand> &Out) {
   std::vector<EngineView> Views = this->Engines.views(Now, Gate.Admits);
@@ -76,9 +87,13 @@
               Each.Loading.begin(), Each.Loading.end(),
               [](const Item &What) { return !What.isAdapter(); });
         }));
-    PlanInput Input{Id,    *Service.Engine,
-                    Views, this->Demand,
-                    Now,   Budget->second.modelLoads(Now, LoadsInProgress)};
+    PlanInput Input{Id,
+                    *Service.Engine,
+                    Views,
+                    this->Demand,
+                    Now,
+                    Budget->second.modelLoads(Now, LoadsInProgress),
+                    this->slownessOf(Views, Id)};
     for (const PlannedOrder &Each : planOrders(Input, this->Settings.Planner)) {
       auto Order = this->Engines.beginOrder(Each.Target, Each.Kind, Each.What,
                                             *this->Token, Now);
--- a/src/residency/internal/planner.cpp
+++ b/src/residency/internal/planner.cpp
@@ -38,7 +38,10 @@
   std::vector<PlannedOrder> run() {
     this->placeAwaitedModels();
     this->placeAwaitedAdapters();
-    this->growModels();
+    if (this->Input.Slowness.empty())
+      this->growModels();
+    else
+      this->growInProportion();
     this->placeUnheldModels();
     this->growAdapters();
     return std::move(this->Orders);
@@ -144,13 +147,101 @@
     return Best;
   }
 
+  double slowness(const EngineView &View) const {
+    auto Found = this->Input.Slowness.find(View.Target);
+    return Found == this->Input.Slowness.end() ? 1 : Found->second;
+  }
+
+  /// Work per second that an engine of usual speed carries.
+  double capacity() const {
+    return this->Settings.WorkPerSlot *
+           std::max(1U, this->Input.Kind.BatchSlots);
+  }
+
+  /// The work of an engine, with \p Added to it, relative to what it carries.
+  double utilization(const EngineView &View, double Added = 0) const {
+    return (this->workAt(View) + Added) * this->slowness(View) /
+           this->capacity();
+  }
+
+  /// The work of the engines that hold the model once its copies are loaded, if
+  /// its demand goes on rising meanwhile, relative to what they carry together.
+  /// Fast engines take more of it.
+  double utilizationOf(const ModelState &State) const {
+    double Work = 0;
+    double Carried = 0;
+    for (const EngineView &Each : this->Engines)
+      if (Each.Usable && Each.Models.count(State.Model->Id) != 0) {
+        Work += this->workAt(Each);
+        Carried += this->capacity() / this->slowness(Each);
+      }
+    double Rising = State.Demand.Work > 0
+                        ? std::min(1.0, State.Demand.Rise / State.Demand.Work)
+                        : 0;
+    return Carried > 0 ? Work / Carried * (1 + Rising) : 0;
+  }
+
+  /// Adds as many copies of each model as its demand needs, the busiest first,
+  /// as far as loads may start and engines have or can free memory.
+  void growInProportion() {
+    for (ModelState *Each : this->byWork()) {
+      // Engines are relieved of their busiest models.
+      constexpr double LeastShare = 0.2;
+      bool Busy = Each->workPerCopy() >
+                  LeastShare * this->Settings.GrowAboveShare * this->capacity();
+      bool MayBeLost = Each->Copies == 1 &&
+                       Each->Demand.Work > this->Settings.SecondCopyAbove;
+      if (Each->Copies == 0 || !(Busy || MayBeLost))
+        continue;
+      this->addCopies(*Each);
+      this->replaceForCopies(*Each);
+    }
+  }
+
+  void addCopies(ModelState &State) {
+    while (this->mayStartLoad()) {
+      bool SecondCopy = State.Copies == 1 &&
+                        State.Demand.Work > this->Settings.SecondCopyAbove;
+      double Share = this->utilizationOf(State);
+      if (!SecondCopy && Share < this->Settings.GrowAboveShare)
+        return;
+      EngineView *Engine = this->findEngineFor(*State.Model);
+      if (Engine == nullptr)
+        return;
+      this->addOrder(*Engine, OrderKind::Load, {State.Model->Id, {}},
+                     SecondCopy ? ReasonSecondCopy : ReasonGrowth);
+    }
+  }
+
+  /// Unloads other models for the copies that are still missing. Unloads in
+  /// progress count as ordered for the models that come first here.
+  void replaceForCopies(const ModelState &State) {
+    double Share = this->utilizationOf(State);
+    if (Share <= this->Settings.ReplaceAboveShare)
+      return;
+    auto Missing = static_cast<unsigned>(std::ceil(
+        State.Copies * (Share / this->Settings.ReplaceAboveShare - 1)));
+    unsigned Room =
+        this->MaxLoads - std::min(this->MaxLoads, this->LoadsInProgress);
+    Missing = std::min(Missing, Room);
+    unsigned Pending = std::min(Missing, this->PendingModelUnloads);
+    this->PendingModelUnloads -= Pending;
+    unsigned KeptPending = std::exchange(this->PendingModelUnloads, 0U);
+    for (; Missing > Pending; --Missing)
+      if (!this->unloadModelFor(*State.Model, State.workPerCopy(), true,
+                                ReasonGrowth))
+        break;
+    this->PendingModelUnloads = KeptPending;
+  }
+
   bool isBetterFor(const catalog::Model &Model, const EngineView &Left,
                    const EngineView &Right) const {
     bool LeftCached = this->isCached(Left, Model);
     bool RightCached = this->isCached(Right, Model);
     if (LeftCached != RightCached)
       return LeftCached;
-    return this->workAt(Left) < this->workAt(Right);
+    double Added = this->Models.at(Model.Id).workPerCopy();
+    return this->utilization(Left, Added) < this->utilization(Right, Added);
   }
 
   /// Work per second of an engine if each model's work is spread evenly over
--- a/src/residency/planner.h
+++ b/src/residency/planner.h
@@ -11,12 +11,16 @@
 /// lose their last.
 ///
 /// Load pattern: demand moves from a few busy models to others within seconds,
-/// and rare models and adapters are requested now and then. Keeps no state; no
-/// I/O and no clock.
+/// and rare models and adapters are requested now and then. Where the engines'
+/// speeds are known, also: demand for a model rises from little to hundreds of
+/// requests a second within 3 s while all memory is in use. Copies are then
+/// added in proportion to demand and its trend, several in a round, by what the
+/// engines carry. Keeps no state; no I/O and no clock.
 
 #include "residency/demandtracker.h"
 #include "residency/enginetracker.h"
 
+#include <map>
 #include <vector>
 
 namespace kingcuphub::residency {
@@ -26,6 +30,13 @@
   /// free memory, or into memory freed by unloading another model.
   double GrowAbove = 0.35;
   double ReplaceAbove = 0.7;
+  /// Where speeds are known: engine time per second that one slot of an engine
+  /// of usual speed carries, and the shares of that above which a model's
+  /// engines get help from free memory, and from memory that other models give
+  /// up. Queues grow fast from about four fifths on.
+  double WorkPerSlot = 0.06;
+  double GrowAboveShare = 0.45;
+  double ReplaceAboveShare = 0.65;
   /// A copy is unloaded only if the remaining copies of its model then have at
   /// most this fraction of the work per copy of the model that gains one.
   double VictimWorkFraction = 0.5;
@@ -48,6 +59,9 @@
   base::TimePoint Now;
   /// The number of loads from the weight store that may start now.
   unsigned StoreLoads = 0;
+  /// How long work takes at each engine relative to usual; empty if nothing is
+  /// known of any, 1 for those that are missing.
+  std::map<base::TargetId, double> Slowness = {};
 };
 
 struct PlannedOrder {
--- a/src/residency/tests/plannertest.cpp
+++ b/src/residency/tests/plannertest.cpp
@@ -58,13 +58,21 @@
     this->Demand.onUse({"i"}, {Use}, this->Now);
   }
 
+  void setSlots(unsigned Slots) { this->Kind.BatchSlots = Slots; }
+  void setSlowness(std::size_t Engine, double Slowness) {
+    this->Slowness[this->Engines[Engine].Target] = Slowness;
+  }
+  bool holds(std::size_t Engine, std::size_t Model) const {
+    return this->Engines[Engine].Models.count(modelName(Model)) != 0;
+  }
+
   /// Runs one planning round and executes its orders.
   std::vector<PlannedOrder> step(unsigned StoreLoads = 1) {
     this->Now += milliseconds(250);
     for (EngineView &Each : this->Engines)
       this->refresh(Each);
-    PlanInput Input{Pool,         this->Kind, this->Engines,
-                    this->Demand, this->Now,  StoreLoads};
+    PlanInput Input{Pool,      this->Kind, this->Engines, this->Demand,
+                    this->Now, StoreLoads, this->Slowness};
     auto Orders = planOrders(Input, PlannerSettings{});
     for (const PlannedOrder &Each : Orders)
       this->carryOut(Each);
@@ -135,6 +143,7 @@
   catalog::Engine Kind;
   std::vector<EngineView> Engines;
   DemandTracker Demand{DemandTrackerSettings{}};
+  std::map<base::TargetId, double> Slowness;
   base::TimePoint Now{std::chrono::hours(1)};
 };
 
@@ -185,6 +194,70 @@
   EXPECT_GE(Simulation.copies({modelName(3), {}}), 4U);
 }
 
+namespace {
+
+constexpr std::size_t ManyEngines = 60;
+constexpr std::size_t ManyModels = 90;
+
+/// Engines whose memory is full of two copies each of many models.
+PlannerSimulation fullFleet() {
+  PlannerSimulation Out(ManyEngines, ManyModels);
+  Out.setSlots(12);
+  for (std::size_t Place = 0; Place < 3 * ManyEngines; ++Place)
+    Out.hold(Place % ManyEngines, Place % ManyModels);
+  return Out;
+}
+
+} // namespace
+
+// Guards against one copy more a second while a model is asked for hundreds of
+// times a second: it was on 4 to 7 of the 30 engines that it needed for 11 s.
+// Demand rises within 3 s; the weight store starts 16 loads a second.
+TEST(PlannerTest, CopiesGrowInProportionToDemand) {
+  PlannerSimulation Simulation = fullFleet();
+  Simulation.setSlowness(0, 1);
+  double Work = 0.5;
+  for (int Step = 0; Step < 24; ++Step) {
+    Work = std::min(15.0, Work + 1.25);
+    Simulation.ask({modelName(0), {}}, Work);
+    Simulation.step(4);
+  }
+  EXPECT_GE(Simulation.copies({modelName(0), {}}), 25U);
+  for (std::size_t Model = 0; Model < ManyModels; ++Model)
+    EXPECT_GE(Simulation.copies({modelName(Model), {}}), 1U) << Model;
+}
+
+// What fell silent gives way to what is asked for now.
+TEST(PlannerTest, SilentModelsGiveTheirCopiesUp) {
+  PlannerSimulation Simulation = fullFleet();
+  Simulation.setSlowness(0, 1);
+  for (std::size_t Busy : {0U, 1U})
+    for (int Step = 0; Step < 48; ++Step) {
+      Simulation.ask({modelName(Busy), {}}, 20);
+      Simulation.step(4);
+    }
+  EXPECT_GE(Simulation.copies({modelName(1), {}}), 30U);
+}
+
+// Guards against adding copies where they carry next to nothing.
+TEST(PlannerTest, BusyModelsGoToFastEngines) {
+  PlannerSimulation Simulation(8, 3);
+  Simulation.setSlots(12);
+  Simulation.hold(0, 0);
+  for (std::size_t Engine = 0; Engine < 8; ++Engine)
+    Simulation.setSlowness(Engine, Engine < 4 ? 1 : 8);
+  for (int Step = 0; Step < 20; ++Step) {
+    Simulation.ask({modelName(0), {}}, 0.6);
+    Simulation.step(4);
+  }
+  std::size_t Fast = 0;
+  std::size_t Slow = 0;
+  for (std::size_t Engine = 0; Engine < 8; ++Engine)
+    (Engine < 4 ? Fast : Slow) += Simulation.holds(Engine, 0) ? 1 : 0;
+  EXPECT_GE(Fast, 2U);
+  EXPECT_EQ(Slow, 0U);
+}
+
 /// A rare model that no engine holds is requested: the last copies of models in
 /// use stay.
 TEST(PlannerTest, ARareModelIsLoadedWithoutEvictingOneInUse) {
