Many targets that end at once accuse no part of prompts that they share

Result: CrashCorrelatorTest.ManyEndsAtOnceAccuseNoPartThatTheyShare; the tests of crashing parts pass as before.

--- a/src/dispatch/internal/crashcorrelator.cpp
+++ b/src/dispatch/internal/crashcorrelator.cpp
@@ -197,8 +197,31 @@
   }
 }
 
+std::size_t CrashCorrelator::independentEnds(const Suspect &Of) const {
+  base::Duration Separation = this->Settings.Separation;
+  std::size_t Out = 0;
+  for (auto First = Of.Ends.begin(); First != Of.Ends.end();) {
+    auto Last = First;
+    while (std::next(Last) != Of.Ends.end() &&
+           std::next(Last)->At < Last->At + Separation)
+      ++Last;
+    auto AtOnce = std::count_if(this->AllEnds.begin(), this->AllEnds.end(),
+                                [&](const End &Each) {
+                                  return First->At - Separation < Each.At &&
+                                         Each.At < Last->At + Separation;
+                                });
+    bool HaveAnotherCause =
+        static_cast<std::size_t>(AtOnce) >= this->Settings.EndsAtOnce;
+    Out += HaveAnotherCause
+               ? 1
+               : static_cast<std::size_t>(std::distance(First, Last)) + 1;
+    First = std::next(Last);
+  }
+  return Out;
+}
+
 bool CrashCorrelator::isConvicted(const Suspect &Of) const {
-  if (Of.Ends.size() >= this->Settings.Ends)
+  if (this->independentEnds(Of) >= this->Settings.Ends)
     return true;
   unsigned Apart = 0;
   std::optional<base::TimePoint> Last;
--- a/src/dispatch/tests/quarantinetest.cpp
+++ b/src/dispatch/tests/quarantinetest.cpp
@@ -403,6 +403,23 @@
   EXPECT_EQ(decideAt(Holder, 300).size(), 1U);
 }
 
+// Guards against a quarantine of the parts that most requests share when 28
+// targets crash at once for another reason: 2,472 sound requests were refused.
+TEST(CrashCorrelatorTest, ManyEndsAtOnceAccuseNoPartThatTheyShare) {
+  CrashCorrelator Holder;
+  for (int Each = 0; Each < 28; ++Each)
+    Holder.onTargetEnd(endOf("t" + std::to_string(Each), Each * 10,
+                             {{{7}, {100UL + Each}}, {{7}, {200UL + Each}}}));
+  EXPECT_TRUE(decideAt(Holder, 400).empty());
+  // A part that ends targets one after the other is still found.
+  for (int Each = 0; Each < 5; ++Each)
+    Holder.onTargetEnd(
+        endOf("u" + std::to_string(Each), 2000 + Each * 1000, {{{8}}}));
+  decideAt(Holder, 6500);
+  EXPECT_TRUE(isQuarantined(Holder, 8));
+  EXPECT_FALSE(isQuarantined(Holder, 7));
+}
+
 TEST(CrashCorrelatorTest, APartOfAFewAmongManyEndsIsQuarantinedLater) {
   CrashCorrelator Holder;
   for (int Each = 0; Each < 5; ++Each) {
