Overloaded models admit a share of their demand, the most urgent first

Cause: when a model's copies are full, each instance sends requests until the engines refuse them; each refusal costs one of the budget of retries, and less urgent requests take places of more urgent ones elsewhere. Change: the lease holder lowers the share of the demand that all instances admit while engines refuse over 2 in 100 arrivals, and raises it step by step (src/overload). Instances refuse at once, by urgency and account.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -14,6 +14,7 @@
 #include "dispatch/usagepool.h"
 #include "messaging/messaging.h"
 #include "metrics/registry.h"
+#include "overload/admissioncontroller.h"
 #include "pacing/targetlearner.h"
 #include "residency/holder.h"
 #include "residency/holderlease.h"
@@ -36,6 +37,7 @@
   dispatch::UsagePoolSettings Usage;
   catalog::TargetTableSettings Targets;
   pacing::TargetLearnerSettings Learner;
+  overload::AdmissionControllerSettings Admission;
   /// Set if the use of each window is reported to the platform.
   std::optional<duties::UsageLedgerSettings> UsageReports;
   /// An instance that was silent for this long is not expected to report the
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -472,6 +472,7 @@
     writeUse(Use, Out);
     writeSamples(Use.Samples, this->Clock.now(), Out);
     writeEvidence(Use.Evidence, this->Clock.now(), Out);
+    writeArrivals(Use.Arrivals, Out);
     this->addBegun(Use, Out);
     this->Link->send(Out.SerializeAsString());
   }
@@ -497,6 +498,14 @@
       }
   }
 
+  void applyAdmission(const wire::HolderReply &Reply) {
+    overload::AdmissionLevels New = readAdmission(Reply);
+    // Without levels, nothing has to be confirmed.
+    if (!New.empty() || this->HasLevels)
+      this->Traffic.setAdmission(New);
+    this->HasLevels = !New.empty();
+  }
+
   void applyDuties(const wire::HolderReply &Reply, base::TimePoint Now) {
     if (Reply.wall_clock_ms() <= 0)
       return;
@@ -585,6 +594,7 @@
         this->Suspects.apply(readSuspects(Reply, Now)))
       this->Traffic.setSuspects(this->Suspects.values());
     this->applyFigures(Reply, Now);
+    this->applyAdmission(Reply);
     this->applyDuties(Reply, Now);
     if (Reply.instances() > 0)
       this->Traffic.setInstances(Reply.instances());
@@ -628,6 +638,8 @@
       std::make_shared<const catalog::SharedHeldStates>();
   ListedReceiver Listed;
   SuspectsReceiver Suspects;
+  /// The last reply admitted not all requests of some models.
+  bool HasLevels = false;
   duties::BegunReport Begun{WindowsKept};
   /// Time of day, less monotonic time, on which most instances agree.
   base::Duration WallOffset = this->Clock.wallNow().time_since_epoch() -
--- a/src/control/internal/figuremessages.cpp
+++ b/src/control/internal/figuremessages.cpp
@@ -128,4 +128,58 @@
   return Out;
 }
 
+void writeArrivals(const overload::ArrivalTable &Arrivals,
+                   wire::InstanceReport &To) {
+  for (const auto &[Key, Each] : Arrivals) {
+    wire::ModelArrivals &Out = *To.add_arrivals();
+    Out.set_service(Key.first.Value);
+    Out.set_model(Key.second.Value);
+    Out.set_sent(Each.Sent);
+    Out.set_refused(Each.Refused);
+    for (unsigned Asked : Each.Asked)
+      Out.add_asked(Asked);
+  }
+}
+
+overload::ArrivalTable readArrivals(const wire::InstanceReport &From) {
+  overload::ArrivalTable Out;
+  for (const wire::ModelArrivals &Each : From.arrivals()) {
+    overload::Arrivals &New = Out[{{Each.service()}, {Each.model()}}];
+    New.Sent = Each.sent();
+    New.Refused = Each.refused();
+    auto Count = std::min<std::size_t>(
+        overload::Classes, static_cast<std::size_t>(Each.asked_size()));
+    for (std::size_t Class = 0; Class < Count; ++Class)
+      New.Asked[Class] = Each.asked(static_cast<int>(Class));
+  }
+  return Out;
+}
+
+namespace {
+
+constexpr double Permille = 1000;
+
+} // namespace
+
+void writeAdmission(const overload::AdmissionLevels &Levels,
+                    wire::HolderReply &To) {
+  for (const auto &[Key, Each] : Levels) {
+    wire::AdmissionLevel &Out = *To.add_admission();
+    Out.set_service(Key.first.Value);
+    Out.set_model(Key.second.Value);
+    Out.set_level_permille(
+        static_cast<std::uint32_t>(std::lround(Each.Level * Permille)));
+    Out.set_retry_after_ms(static_cast<std::uint32_t>(Each.RetryAfter.count()));
+  }
+}
+
+overload::AdmissionLevels readAdmission(const wire::HolderReply &From) {
+  overload::AdmissionLevels Out;
+  for (const wire::AdmissionLevel &Each : From.admission())
+    Out[{{Each.service()}, {Each.model()}}] = {
+        Each.level_permille() / Permille,
+        std::chrono::milliseconds(Each.retry_after_ms())};
+  return Out;
+}
+
 } // namespace kingcuphub::control
--- a/src/control/internal/figuremessages.h
+++ b/src/control/internal/figuremessages.h
@@ -3,9 +3,10 @@
 
 /// \file
 /// Conversion of what instances and holder tell each other about the load and
-/// the speed of targets.
+/// the speed of targets, and about overloaded models.
 
 #include "dispatch/targetfigures.h"
+#include "overload/admissionlevel.h"
 #include "pacing/targetsample.h"
 
 #include <fleet.pb.h>
@@ -30,6 +31,14 @@
 decodeFigures(const std::string &Bytes, const catalog::TargetList &Known,
               base::TimePoint At);
 
+void writeArrivals(const overload::ArrivalTable &Arrivals,
+                   wire::InstanceReport &To);
+overload::ArrivalTable readArrivals(const wire::InstanceReport &From);
+
+void writeAdmission(const overload::AdmissionLevels &Levels,
+                    wire::HolderReply &To);
+overload::AdmissionLevels readAdmission(const wire::HolderReply &From);
+
 } // namespace kingcuphub::control
 
 #endif // KINGCUPHUB_CONTROL_INTERNAL_FIGUREMESSAGES_H
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -16,7 +16,7 @@
                        DutyClient *Duties)
     : Settings(Settings), Engines(Engines), Lease(Lease), Clock(Clock),
       Metrics(Metrics), Holder(Settings.Holder), Usage(Settings.Usage),
-      Learner(Settings.Learner),
+      Admission(Settings.Admission), Learner(Settings.Learner),
       Reporter(Settings, Duties, Lease, Clock, Metrics), PlanTimer(Loop),
       PublishTimer(Loop) {}
 
@@ -76,6 +76,8 @@
   this->Held.clear();
   this->Listed.clear();
   this->Suspects.clear();
+  this->Admission.clear();
+  this->Levels.clear();
   this->Learner.clear();
   this->Holder.setSlowness({});
   this->Figures.clear();
@@ -174,10 +176,12 @@
   this->Holder.onUse(Instance, readItems(Report), Now);
   for (const pacing::TargetSample &Each : readSamples(Report, Now))
     this->Learner.onSample(Each, Now);
+  this->Admission.onArrivals(readArrivals(Report));
   this->addEvidence(Report);
   wire::HolderReply Reply = this->newReply(Now);
   Reply.set_number(Report.number());
   this->addFigures(Instance, Reply);
+  writeAdmission(this->Levels, Reply);
   this->Reporter.onReport(Report, Reply);
   // Revisions of a previous holder's data mean nothing here.
   bool SameHolder = Report.held_token() == this->Token->Value;
@@ -275,6 +279,26 @@
       this->LeftQuarantined, this->Reporter.reports(), this->Clock.now()));
 }
 
+void HolderRole::updateAdmission(base::TimePoint Now) {
+  if (!this->Admission.tick(Now))
+    return;
+  overload::AdmissionLevels Before =
+      std::exchange(this->Levels, this->Admission.levels());
+  this->Metrics.counter("overloaded_models")
+      .set(static_cast<std::int64_t>(this->Levels.size()));
+  for (const auto &[Key, Each] : this->Levels)
+    if (Before.count(Key) == 0)
+      base::logEvent(base::LogLevel::Warn, "model-overloaded",
+                     {{"service", Key.first.Value},
+                      {"model", Key.second.Value},
+                      {"level", Each.Level}});
+  for (const auto &[Key, Each] : Before)
+    if (this->Levels.count(Key) == 0)
+      base::logEvent(
+          base::LogLevel::Info, "model-has-room",
+          {{"service", Key.first.Value}, {"model", Key.second.Value}});
+}
+
 void HolderRole::tickDuties(base::TimePoint Now) {
   if (!this->Reporter.enabled())
     return;
@@ -364,6 +388,7 @@
     this->carryOut(Each);
   this->updateSuspects();
   this->tickDuties(Begun);
+  this->updateAdmission(Begun);
   this->publish();
   base::Duration Took = this->Clock.now() - Begun;
   this->Metrics.histogram("plan_ms").add(Took);
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -78,6 +78,8 @@
                        wire::HolderReply &To);
   /// Sets what the next holder takes over.
   void setLeftState();
+  /// Decides how much of the demand for overloaded models is admitted.
+  void updateAdmission(base::TimePoint Now);
   void tickDuties(base::TimePoint Now);
   void updateInstanceCounts(base::TimePoint Now);
   /// Runs a planning round as soon as the minimum interval allows.
@@ -130,6 +132,9 @@
   std::map<messaging::ClientName, base::TimePoint> Clients;
   HeldSource Held;
   ListedSource Listed;
+  overload::AdmissionController Admission;
+  /// As they are published now.
+  overload::AdmissionLevels Levels;
   pacing::TargetLearner Learner;
   std::string Figures;
   base::TimePoint FiguresAt;
--- a/src/control/trafficport.h
+++ b/src/control/trafficport.h
@@ -25,6 +25,8 @@
   setHeld(catalog::SharedHeldStatesPtr Held,
           std::map<dispatch::ServiceModel, base::TimePoint> Loading,
           base::TimePoint Until) = 0;
+  /// Sets of which models not all requests are admitted.
+  virtual void setAdmission(overload::AdmissionLevels New) = 0;
   /// Sets the time of day, less monotonic time, on which most instances agree.
   virtual void setWallOffset(base::Duration New) = 0;
   /// Sets what the lease holder has published about targets at \p At.
--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -139,6 +139,8 @@
     TargetState->Pace = Figures.Pace;
     TargetState->Limit = static_cast<double>(Figures.Limit);
     TargetState->FiguresAt = At;
+    if (const catalog::Target *Target = this->find(Id))
+      this->FiguresAt[Target->Entry.Service] = At;
     TargetState->View.setReportDecay(this->Settings.PublishedLoadDecay);
     if (Figures.LoadAt <= TargetState->LoadAt)
       continue;
@@ -148,6 +150,13 @@
   }
 }
 
+bool TargetSelector::hasFigures(const catalog::ServiceId &Service,
+                                base::TimePoint Now) const {
+  auto Found = this->FiguresAt.find(Service);
+  return Found != this->FiguresAt.end() &&
+         Now < Found->second + this->Settings.FiguresValidFor;
+}
+
 double TargetSelector::slowness(const base::TargetId &Id) const {
   auto Found = this->States.find(Id);
   return Found == this->States.end()
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -147,6 +147,9 @@
   /// Sets what the lease holder has published about targets at \p At.
   void setFigures(const FigureTable &New, base::TimePoint At);
 
+  /// Whether the lease holder publishes figures of the service's targets.
+  bool hasFigures(const catalog::ServiceId &Service, base::TimePoint Now) const;
+
   /// Sets when models will be loaded according to the lease holder.
   void setLoading(std::map<ServiceModel, base::TimePoint> NewLoading);
   /// When the model will be loaded; empty if it is not known to be loading.
@@ -271,6 +274,8 @@
   ColdLimit Cold;
   routing::PrefixHints Hints;
   std::map<base::TargetId, State> States;
+  /// When figures of a target of the service were published last.
+  std::map<catalog::ServiceId, base::TimePoint> FiguresAt;
   catalog::SharedHeldStatesPtr Held;
   base::TimePoint HeldUntil;
   std::map<base::TargetId, SelfReport> SelfReports;
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -19,6 +19,7 @@
 #include "http/forwardclient.h"
 #include "http/httpserver.h"
 #include "metrics/registry.h"
+#include "overload/admissionfilter.h"
 #include "pacing/samplecollector.h"
 #include "residency/types.h"
 
@@ -35,6 +36,7 @@
   dispatch::RetryBudgetSettings Retries;
   dispatch::UsageAdmissionSettings Usage;
   dispatch::PromptQuarantineSettings Quarantine;
+  overload::AdmissionFilterSettings Admission;
   pacing::SamplingMode Sampling = pacing::SamplingMode::WhereSlownessIsStated;
   /// Length of the windows in which requests that begin to run are counted;
   /// none are counted without it.
@@ -73,6 +75,7 @@
 struct TrafficUse {
   std::vector<residency::ItemUse> Items;
   std::vector<pacing::TargetSample> Samples;
+  overload::ArrivalTable Arrivals;
   /// Requests that have begun to run.
   std::map<duties::WindowId, duties::BegunCounts> Begun;
   dispatch::CrashEvidence Evidence;
@@ -112,6 +115,8 @@
   virtual void setInstances(unsigned Count) = 0;
   virtual void setHeld(catalog::SharedHeldStatesPtr Held,
                        base::TimePoint Until) = 0;
+  /// Sets of which models not all requests are admitted.
+  virtual void setAdmission(overload::AdmissionLevels New) = 0;
   /// Sets the time of day, less monotonic time, on which most instances agree.
   virtual void setWallOffset(base::Duration New) = 0;
   /// Sets what the lease holder has published about targets at \p At.
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -249,7 +249,27 @@
 void Exchange::admitted() {
   this->UsageTaken = this->Account != nullptr;
   this->countUse();
-  this->dispatch();
+  if (!this->refuseIfOverloaded())
+    this->dispatch();
+}
+
+bool Exchange::refuseIfOverloaded() {
+  // Only where the holder publishes figures: these report arrivals, too.
+  if (this->Facts.Model.empty() ||
+      !this->Context.Selector.hasFigures(this->Service, this->now()))
+    return false;
+  std::uniform_real_distribution<double> Draw(0, 1);
+  overload::Asking Request{{this->Service, this->Facts.Model},
+                           this->sendFacts(this->now()).Urgency,
+                           this->Account == nullptr ? base::AccountId{}
+                                                    : this->Account->Id};
+  auto RetryAfter = this->Context.Admission.refuses(
+      Request, Draw(this->Context.Random), this->now());
+  if (!RetryAfter)
+    return false;
+  this->Context.Metrics.counter("overload_refused").add();
+  this->refuse(Unavailable, "overloaded", this->addJitter(*RetryAfter));
+  return true;
 }
 
 void Exchange::tokensRefused(std::chrono::milliseconds RetryAfter) {
@@ -492,6 +512,9 @@
       To, this->TargetLifetime, this->Context.Selector.load(To, Now),
       this->Context.Selector.slots(To),
       this->Context.Selector.expectedMillis(this->query(), To, Now)};
+  if (!this->Facts.Model.empty() &&
+      this->Context.Selector.hasFigures(this->Service, Now))
+    this->Context.Admission.onSent({this->Service, this->Facts.Model});
   this->Context.Selector.onSent(this->query(), To, Now);
   auto Guarded = [this, Current, Self = this->shared_from_this()](auto Take) {
     return [this, Current, Self, Take](const auto &What) {
@@ -812,6 +835,9 @@
   else {
     this->Context.Selector.onFull(From, this->now());
     this->Context.Samples.onFull(From, this->TargetLifetime);
+    if (!this->Facts.Model.empty() &&
+        this->Context.Selector.hasFigures(this->Service, this->now()))
+      this->Context.Admission.onFull({this->Service, this->Facts.Model});
   }
   bool Again = this->Refusals < MaxRefusals &&
                this->now() + MinAttemptTime < this->Deadline &&
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -87,6 +87,9 @@
   std::int64_t tokenCost() const;
   dispatch::TargetQuery query() const;
 
+  /// Refuses the request if less of the demand for its model is admitted.
+  /// Returns whether the request has ended.
+  bool refuseIfOverloaded();
   void dispatch();
   void queueOrRefuse();
   void endWithoutTarget(const dispatch::RefuseNow &Why);
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -121,6 +121,11 @@
       this->serveQueue();
   }
 
+  void setAdmission(overload::AdmissionLevels New) override {
+    this->Context.Admission.setLevels(std::move(New),
+                                      this->Context.Clock.now());
+  }
+
   void setWallOffset(base::Duration New) override {
     this->Context.WallOffset = New;
   }
@@ -172,6 +177,7 @@
       Out.Items.push_back(Use);
     }
     Out.Samples = this->Context.Samples.take();
+    Out.Arrivals = this->Context.Admission.take();
     Out.Begun = std::exchange(this->Context.Begun, {});
     Out.Evidence =
         this->Context.Quarantine.takeEvidence(this->Context.Clock.now());
--- a/src/forwarding/internal/trafficcontext.h
+++ b/src/forwarding/internal/trafficcontext.h
@@ -32,7 +32,7 @@
         Clock(Clock), Metrics(Metrics), Selector(this->Settings.Selector),
         Retries(this->Settings.Retries), Usage(this->Settings.Usage),
         Waits(this->Settings.Waits), Quarantine(this->Settings.Quarantine),
-        Samples(this->Settings.Sampling),
+        Samples(this->Settings.Sampling), Admission(this->Settings.Admission),
         Client(http::makeForwardClient(Loop, this->Settings.Connections)),
         AnswerSizes({this->Settings.MaxHeldBytes, this->Settings.MaxPieceBytes,
                      this->Settings.MaxUnsentBytes},
@@ -76,6 +76,7 @@
   dispatch::WaitPolicy Waits;
   dispatch::PromptQuarantine Quarantine;
   pacing::SampleCollector Samples;
+  overload::AdmissionFilter Admission;
   std::unique_ptr<http::ForwardClient> Client;
   AnswerLimits AnswerSizes;
   TargetEndCheck EndCheck;
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -132,6 +132,12 @@
   });
 }
 
+void TrafficThread::setAdmission(overload::AdmissionLevels New) {
+  asio::post(this->Loop, [this, New = std::move(New)] {
+    this->Forwarder->setAdmission(New);
+  });
+}
+
 void TrafficThread::setWallOffset(base::Duration New) {
   asio::post(this->Loop, [this, New] { this->Forwarder->setWallOffset(New); });
 }
--- a/src/instance/internal/trafficthread.h
+++ b/src/instance/internal/trafficthread.h
@@ -41,6 +41,7 @@
   void setHeld(catalog::SharedHeldStatesPtr Held,
                std::map<dispatch::ServiceModel, base::TimePoint> Loading,
                base::TimePoint Until) override;
+  void setAdmission(overload::AdmissionLevels New) override;
   void setWallOffset(base::Duration New) override;
   void setFigures(dispatch::FigureTablePtr New, base::TimePoint At) override;
   void setSuspects(dispatch::SuspectParts New) override;
