--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -53,13 +53,7 @@
   if (Held)
     this->logGained(*Held, Now);
   else
-    base::logEvent(
-        base::LogLevel::Info, "lease-lost",
-        {{"token", this->Token->Value},
-         {"why", residency::leaseLossName(this->Lease.lossReason())},
-         {"held_ms", base::millisOf(Now - this->HeldSince)},
-         {"engines", this->Holder.engines().views(Now).size()},
-         {"catalog", this->Catalog ? this->Catalog->Version.Value : 0}});
+    this->logLost(Now);
   this->Lost.reset();
   if (this->Token && !Held)
     this->Lost = LostLease{*this->Token, Now};
@@ -71,6 +65,8 @@
   }
   this->Metrics.counter("lease_gained").add();
   this->HeldSince = Now;
+  this->Work = {};
+  this->Work.TrafficBefore = this->Server->traffic();
   this->Instances.clear();
   this->Clients.clear();
   this->Held.clear();
@@ -97,6 +93,26 @@
     this->Usage.start(Now);
 }
 
+void HolderRole::logLost(base::TimePoint Now) const {
+  messaging::TrafficCount Total = this->Server->traffic();
+  const HolderWork &Done = this->Work;
+  base::logEvent(
+      base::LogLevel::Info, "lease-lost",
+      {{"token", this->Token->Value},
+       {"why", residency::leaseLossName(this->Lease.lossReason())},
+       {"held_ms", base::millisOf(Now - this->HeldSince)},
+       {"engines", this->Holder.engines().views(Now).size()},
+       {"reports", Done.Reports},
+       {"reports_ms", base::millisOf(Done.Reporting)},
+       {"plans", Done.Plans},
+       {"plans_ms", base::millisOf(Done.Planning)},
+       {"broadcasts", Done.Broadcasts},
+       {"broadcasts_ms", base::millisOf(Done.Broadcasting)},
+       {"messages_out", Total.MessagesOut - Done.TrafficBefore.MessagesOut},
+       {"bytes_out", Total.BytesOut - Done.TrafficBefore.BytesOut},
+       {"catalog", this->Catalog ? this->Catalog->Version.Value : 0}});
+}
+
 void HolderRole::logGained(residency::FencingToken New,
                            base::TimePoint Now) const {
   const auto &Before = this->Lease.predecessor();
@@ -196,6 +212,8 @@
     writeSuspects(this->Suspects.since(Known), Now, Reply);
   this->addCreditGrants(Report, Reply);
   this->Server->send(From, Reply.SerializeAsString());
+  ++this->Work.Reports;
+  this->Work.Reporting += this->Clock.now() - Now;
   bool HasWaiting =
       std::any_of(Report.items().begin(), Report.items().end(),
                   [](const wire::ItemUse &Each) { return Each.waiting() > 0; });
@@ -391,6 +409,8 @@
   this->updateAdmission(Begun);
   this->publish();
   base::Duration Took = this->Clock.now() - Begun;
+  ++this->Work.Plans;
+  this->Work.Planning += Took;
   this->Metrics.histogram("plan_ms").add(Took);
   this->NextPlanAt =
       Begun + std::max(std::chrono::duration_cast<base::Duration>(
@@ -511,6 +531,8 @@
     this->Server->send(Each->first, Bytes);
     ++Each;
   }
+  ++this->Work.Broadcasts;
+  this->Work.Broadcasting += this->Clock.now() - Now;
 }
 
 void HolderRole::carryOut(const residency::HolderCommand &Command) {
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -56,6 +56,16 @@
   unsigned instances() const;
 
 private:
+  /// What the holder has done since it gained the lease.
+  struct HolderWork {
+    messaging::TrafficCount TrafficBefore;
+    unsigned Reports = 0;
+    unsigned Plans = 0;
+    unsigned Broadcasts = 0;
+    base::Duration Reporting{};
+    base::Duration Planning{};
+    base::Duration Broadcasting{};
+  };
   struct LostLease {
     residency::FencingToken Token;
     base::TimePoint At;
@@ -67,6 +77,7 @@
     base::TimePoint FiguresAt{};
   };
 
+  void logLost(base::TimePoint Now) const;
   void logGained(residency::FencingToken New, base::TimePoint Now) const;
   void onReport(const messaging::ClientName &From, std::string_view Bytes);
   void addEvidence(const wire::InstanceReport &Report);
@@ -128,6 +139,7 @@
   unsigned InheritedInstances = 0;
   /// A lapsed lease that a late renewal may still restore.
   std::optional<LostLease> Lost;
+  HolderWork Work;
   std::map<base::InstanceId, Peer> Instances;
   std::map<messaging::ClientName, base::TimePoint> Clients;
   HeldSource Held;
