An answer whose status does not exist is no answer

Cause: a status below 100, such as 000, was taken for an interim response. The head itself was not passed on, but what followed on the connection was taken for the answer to the request, and a status above 599 was passed on. Change: a response with a status outside of 100 to 599 is malformed, so that the attempt is broken. Result: AStatusThatDoesNotExistIsNoResponse and AnAnswerWithStatus000IsNotPassedOn fail on and pass.

--- a/src/forwarding/tests/answerendtest.cpp
+++ b/src/forwarding/tests/answerendtest.cpp
@@ -31,6 +31,27 @@
   EXPECT_NE(Got.End, Seen::Complete);
 }
 
+// Guards against passing on what follows a head with status 000, which a target
+// in trouble may send: neither that head nor anything after it is an answer.
+TEST_F(AnswerEndTest, AnAnswerWithStatus000IsNotPassedOn) {
+  for (bool Streaming : {true, false})
+    for (const char *Next : {"ok", "", "HTTP/1.1 200 OK\r\n"}) {
+      this->TargetSuffix = std::string("-") + (Streaming ? "s" : "p") + Next;
+      this->configure(catalog::Repetition::Never, Streaming);
+      Understood Got =
+          this->ask({[&](const http::Request &Asked, RawConnection &Answer) {
+            std::string Rest = std::string("Id: ") +
+                               std::string(Asked.header("Id")) +
+                               "\r\nProof: p\r\nContent-Length: 2\r\n\r\n";
+            Answer.write("HTTP/1.1 000 \r\n" + Rest + Next);
+            if (std::string(Next).size() > 2)
+              Answer.write(Rest + "ok");
+            Answer.close();
+          }});
+      EXPECT_EQ(Got.Status, 502) << Streaming << " " << Next;
+    }
+}
+
 TEST_F(AnswerEndTest, AStreamThatEndsInsideAnEventIsBrokenOff) {
   std::string Torn = event(1) + "id: 2\nda";
   for (const auto &[Framing, Bytes] :
--- a/src/http/internal/messageparser.cpp
+++ b/src/http/internal/messageparser.cpp
@@ -31,6 +31,8 @@
 /// ends of line.
 constexpr std::size_t PlainChunkBytes = 20;
 constexpr int FirstFinalStatus = 200;
+constexpr int FirstStatus = 100;
+constexpr int LastStatus = 599;
 
 std::string_view trimmed(std::string_view Text) {
   while (!Text.empty() && (Text.front() == ' ' || Text.front() == '\t'))
@@ -252,6 +254,14 @@
            this->Raw.status_code < FirstFinalStatus;
   }
 
+  /// RFC 9110, section 15: a status outside of 100 to 599 is invalid. One
+  /// below 100 would otherwise pass as an interim response.
+  bool hasValidStatus() const {
+    return this->Kind == MessageKind::Request ||
+           (this->Raw.status_code >= FirstStatus &&
+            this->Raw.status_code <= LastStatus);
+  }
+
   int onHeadComplete() {
     constexpr int SkipBody = 1;
     this->HeadDone = true;
@@ -259,7 +269,8 @@
       this->Failed = make_error_code(ParseErrc::AmbiguousLength);
       return -1;
     }
-    if (this->Raw.http_major != 1 || this->Raw.http_minor > 1) {
+    if (this->Raw.http_major != 1 || this->Raw.http_minor > 1 ||
+        !this->hasValidStatus()) {
       this->Failed = make_error_code(ParseErrc::Malformed);
       return -1;
     }
--- a/src/http/tests/messageparsertest.cpp
+++ b/src/http/tests/messageparsertest.cpp
@@ -180,6 +180,23 @@
   EXPECT_EQ(Cut.Parser.finish().Failed, ParseErrc::Truncated);
 }
 
+// Guards against taking a status below 100 for an interim response, so that
+// what follows it would be passed on as the answer.
+TEST(MessageParserTest, AStatusThatDoesNotExistIsNoResponse) {
+  for (const char *Status : {"000", "001", "099", "600", "999"})
+    for (const char *Next :
+         {"", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"})
+      for (std::size_t Piece : {1U, 1000U}) {
+        Parsed Got(MessageKind::Response);
+        auto End = Got.feed(std::string("HTTP/1.1 ") + Status +
+                                " \r\nContent-Length: 0\r\n\r\n" + Next,
+                            Piece);
+        EXPECT_EQ(End.Failed, ParseErrc::Malformed) << Status << " " << Piece;
+        EXPECT_FALSE(End.Complete) << Status << " " << Piece;
+        EXPECT_EQ(Got.Head.Status, 0) << Status << " " << Piece;
+      }
+}
+
 TEST(MessageParserTest, AResponseWithoutALengthEndsWithItsConnection) {
   Parsed Got(MessageKind::Response);
   EXPECT_FALSE(Got.feed("HTTP/1.1 200 OK\r\n\r\nabc", 7).Complete);
