Instances share the free places of busy targets

Cause: where a model's copies are busy, each of 60 instances sent requests to the few targets that the last figures showed free: up to all arrivals of a quarter of a second to the same places. Change: with figures, an instance uses its part of the published free places, and those of its own requests that have ended since, where places are scarce or requests wait. Lines of refusals by targets tell the stated and expected load.

--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -54,6 +54,8 @@
       TargetState.Slowness = TargetState.Pace = 1;
       TargetState.Limit = 0;
       TargetState.LoadAt = TargetState.FiguresAt = {};
+      TargetState.Scarce = false;
+      TargetState.OwnPlaces = TargetState.FreePlaces = 0;
     }
     TargetState.Lifetime = Target.Entry.Lifetime;
     TargetState.View.configure(Seen);
@@ -145,11 +147,42 @@
     if (Figures.LoadAt <= TargetState->LoadAt)
       continue;
     TargetState->Slowness = Figures.Slowness;
+    this->drawPlaces(*TargetState, Figures);
     this->recordLoad(*TargetState, {Figures.Load, 0, Figures.Slots, {}},
                      Figures.LoadAt);
   }
 }
 
+void TargetSelector::drawPlaces(State &Of, const TargetFigures &Figures) {
+  auto Slots = static_cast<double>(std::max<std::int64_t>(1, Figures.Slots));
+  auto Load = static_cast<double>(Figures.Load);
+  // The places of requests that have ended are in the published load.
+  Of.FreePlaces = Of.OwnPlaces = 0;
+  Of.Scarce = Load >= this->Settings.ScarceShare * Slots;
+  Of.Queues = Load > Slots;
+  if (Load >= Slots)
+    return;
+  double Contenders = std::max(1.0, this->Settings.ContenderShare *
+                                        static_cast<double>(this->Instances));
+  double Part = (Slots - Load) / Contenders;
+  std::bernoulli_distribution Draw(Part - std::floor(Part));
+  Of.FreePlaces = static_cast<unsigned>(Part) + (Draw(this->Random) ? 1U : 0U);
+}
+
+bool TargetSelector::mayUsePlace(const State &TargetState, bool Contended,
+                                 base::TimePoint Now) const {
+  bool Shared = TargetState.Scarce || Contended;
+  return !Shared || !this->hasFigures(TargetState, Now) ||
+         TargetState.OwnPlaces + TargetState.FreePlaces > 0;
+}
+
+void TargetSelector::usePlace(State &TargetState) {
+  if (TargetState.OwnPlaces > 0)
+    --TargetState.OwnPlaces;
+  else if (TargetState.FreePlaces > 0)
+    --TargetState.FreePlaces;
+}
+
 bool TargetSelector::hasFigures(const catalog::ServiceId &Service,
                                 base::TimePoint Now) const {
   auto Found = this->FiguresAt.find(Service);
@@ -392,6 +425,8 @@
   bool AllWait = true;
   std::optional<base::TimePoint> FirstWait;
   bool HaveFigures = false;
+  unsigned Holders = 0;
+  unsigned ScarceHolders = 0;
   std::vector<const catalog::Target *> Eligible;
   PromptChain Prompt = promptChain(Query);
   for (const auto &[Id, Target] : this->Targets->Targets) {
@@ -411,6 +446,9 @@
       continue;
     }
     AllWait = false;
+    Holders += 1;
+    ScarceHolders +=
+        TargetState.Scarce && this->hasFigures(TargetState, Now) ? 1 : 0;
     if (TargetState.View.isBackingOff(Now) ||
         this->isFull(Target, TargetState, Now))
       continue;
@@ -420,8 +458,14 @@
     HaveFigures = HaveFigures || this->hasFigures(TargetState, Now);
     Eligible.push_back(&Target);
   }
-  if (HaveFigures)
+  // Where most copies are busy, what looks free is wanted by all instances.
+  bool Contended = Query.Waits || 2 * ScarceHolders >= std::max(1U, Holders);
+  if (HaveFigures) {
+    std::erase_if(Eligible, [&](const catalog::Target *Each) {
+      return !this->mayUsePlace(*this->stateOf(Each->Entry.Id), Contended, Now);
+    });
     this->drawCandidates(Eligible, Prompt);
+  }
   const catalog::Target *Best = nullptr;
   double BestCost = std::numeric_limits<double>::max();
   for (const catalog::Target *Each : Eligible) {
@@ -443,8 +487,10 @@
 
 void TargetSelector::onSent(const TargetQuery &Query, const base::TargetId &Id,
                             base::TimePoint Now) {
-  if (State *TargetState = this->stateOf(Id))
+  if (State *TargetState = this->stateOf(Id)) {
     TargetState->View.started(Now);
+    usePlace(*TargetState);
+  }
   const catalog::Target *Target = this->find(Id);
   if (Target != nullptr && Now < Target->ColdUntil)
     this->Cold.onSent(*Target, this->coldRequestRate(*Target), Now);
@@ -489,6 +535,10 @@
   State *TargetState = this->stateOf(Id);
   if (TargetState == nullptr)
     return;
+  constexpr unsigned MaxOwnPlaces = 4;
+  // What queues at the target takes the place otherwise.
+  if (TargetState->Scarce && !TargetState->Queues && How != AttemptEnd::Refused)
+    TargetState->OwnPlaces = std::min(TargetState->OwnPlaces + 1, MaxOwnPlaces);
   bool Broken = How == AttemptEnd::Broken;
   bool Served = How == AttemptEnd::Served;
   TargetState->View.ended(Broken   ? routing::RequestEnd::Failed
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -16,6 +16,13 @@
 /// targets, each instance compares a few candidates drawn at random by the load
 /// and speed that all have seen: all of them choosing the least loaded target
 /// of one table would send everything there.
+///
+/// Load pattern: all copies of a model are full, and requests for it wait at
+/// all instances. Each of them would send one to every place that becomes free.
+/// Where places are scarce, or requests wait, an instance may replace a request
+/// of its own that has ended, and uses its part of the places that are
+/// published as free, so that about as many requests follow as there are
+/// places.
 
 #include "base/clock.h"
 #include "catalog/target.h"
@@ -43,6 +50,9 @@
   const std::vector<PromptPart> *Prompt = nullptr;
   /// Targets to which this request must not be sent again.
   const std::set<base::TargetId> *Exclude = nullptr;
+  /// Requests for the same model wait at this instance, so that others probably
+  /// have some, too.
+  bool Waits = false;
 };
 
 struct SendTo {
@@ -113,6 +123,11 @@
   /// Time constant by which published loads are discounted: about the duration
   /// of a stream.
   std::chrono::milliseconds PublishedLoadDecay{3000};
+  /// Share of the slots from which on places are scarce.
+  double ScarceShare = 0.75;
+  /// Instances that have a request for a published free place before the next
+  /// figures, as a share of all; engines queue a few requests too many.
+  double ContenderShare = 0.7;
   /// Figures that are older than this are not used.
   std::chrono::milliseconds FiguresValidFor{2000};
   /// Weight of a newly stated slowness, which changes many times a second.
@@ -139,7 +154,10 @@
 
   void setCatalog(catalog::CatalogPtr New);
   void setTargets(catalog::TargetListPtr New);
-  void setInstances(unsigned Count) { this->Cold.setInstances(Count); }
+  void setInstances(unsigned Count) {
+    this->Cold.setInstances(Count);
+    this->Instances = Count;
+  }
   /// Sets what the targets hold according to the lease holder, valid until
   /// \p Until. Returns whether it has changed.
   bool setHeld(catalog::SharedHeldStatesPtr New, base::TimePoint Until);
@@ -209,6 +227,13 @@
     double Pace = 1;
     double Limit = 0;
     base::TimePoint FiguresAt;
+    /// When its load was published last, places were scarce, or requests queued
+    /// there already; and how many requests this instance may send since: for
+    /// its own that have ended, and for places that were published as free.
+    bool Scarce = false;
+    bool Queues = false;
+    unsigned OwnPlaces = 0;
+    unsigned FreePlaces = 0;
     /// Models and adapters that the target was found to lack, each with the
     /// time until which it counts as lacking.
     std::map<std::pair<base::ModelId, base::AdapterId>, base::TimePoint>
@@ -229,6 +254,11 @@
   using PromptChain = std::vector<PromptPart>;
 
   State *stateOf(const base::TargetId &Id);
+  /// Draws this instance's part of the places that were published as free.
+  void drawPlaces(State &Of, const TargetFigures &Figures);
+  bool mayUsePlace(const State &TargetState, bool Contended,
+                   base::TimePoint Now) const;
+  static void usePlace(State &TargetState);
   static void recordLoad(State &To, const StatedLoad &Load, base::TimePoint At);
   /// Null if the target has reported nothing in this lifetime.
   const SelfReport *selfReportOf(const catalog::Target &Target) const;
@@ -280,6 +310,7 @@
   base::TimePoint HeldUntil;
   std::map<base::TargetId, SelfReport> SelfReports;
   std::map<ServiceModel, base::TimePoint> Loading;
+  unsigned Instances = 1;
   std::mt19937_64 Random;
 };
 
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -260,7 +260,7 @@
     return false;
   std::uniform_real_distribution<double> Draw(0, 1);
   overload::Asking Request{{this->Service, this->Facts.Model},
-                           this->sendFacts(this->now()).Urgency,
+                           this->urgency(),
                            this->Account == nullptr ? base::AccountId{}
                                                     : this->Account->Id};
   auto RetryAfter = this->Context.Admission.refuses(
@@ -295,6 +295,11 @@
 
 // --- Placing ---------------------------------------------------------------
 
+std::string Exchange::pool() const {
+  return this->Service.Value + "|" + this->Facts.Model.Value + "|" +
+         this->Facts.Adapter.Value;
+}
+
 dispatch::TargetQuery Exchange::query() const {
   dispatch::TargetQuery Out;
   Out.Service = this->Service;
@@ -302,6 +307,11 @@
   Out.Adapter = this->Facts.Adapter;
   Out.Prompt = &this->Facts.Prompt;
   Out.Exclude = &this->TriedTargets;
+  Out.Waits =
+      this->InQueue ||
+      (!this->Context.Queue.empty() && !this->AnswerBegun &&
+       this->Context.Queue.waitingAhead(this->pool(), this->urgency()).Value >
+           0);
   return Out;
 }
 
@@ -407,11 +417,10 @@
   Entry.Request = this->LocalId;
   Entry.Account =
       this->Account == nullptr ? base::AccountId{} : this->Account->Id;
-  Entry.Priority = this->sendFacts(Now).Urgency;
+  Entry.Priority = this->urgency();
   Entry.Cost = base::Tokens{std::max<std::int64_t>(
       1, this->Facts.PromptTokens.value_or(base::Tokens{1}).Value)};
-  Entry.Pool = this->Service.Value + "|" + this->Facts.Model.Value + "|" +
-               this->Facts.Adapter.Value;
+  Entry.Pool = this->pool();
   Entry.Deadline = Now + Limit;
   this->InQueue = true;
   this->Context.Waiting[this->LocalId] = this->shared_from_this();
@@ -457,6 +466,15 @@
 
 // --- Sending ---------------------------------------------------------------
 
+unsigned Exchange::urgency() const {
+  unsigned Rank = this->Route->Priority;
+  if (this->Account != nullptr)
+    Rank = this->Account->Priority.value_or(Rank);
+  unsigned Relaxed =
+      this->Route->Objective >= RelaxedObjective ? RelaxedUrgency : 0;
+  return std::min(MaxUrgency, Rank * UrgencyPerRank + Relaxed);
+}
+
 SendFacts Exchange::sendFacts(base::TimePoint Now) const {
   SendFacts Out;
   if (this->Target)
@@ -464,14 +482,9 @@
   Out.TimeLeft = std::max(std::chrono::milliseconds(1),
                           std::chrono::duration_cast<std::chrono::milliseconds>(
                               this->Deadline - Now));
-  unsigned Rank = this->Route->Priority;
-  if (this->Account != nullptr) {
+  if (this->Account != nullptr)
     Out.Account = this->Account->Id;
-    Rank = this->Account->Priority.value_or(Rank);
-  }
-  unsigned Relaxed =
-      this->Route->Objective >= RelaxedObjective ? RelaxedUrgency : 0;
-  Out.Urgency = std::min(MaxUrgency, Rank * UrgencyPerRank + Relaxed);
+  Out.Urgency = this->urgency();
   if (this->AnswerBegun)
     Out.LastEventId = this->Events.lastId();
   return Out;
@@ -818,15 +831,19 @@
 void Exchange::afterRefused() {
   base::TargetId From = *std::exchange(this->Target, std::nullopt);
   ++this->Refusals;
+  const auto &Load = this->HeadFacts.Load;
   this->log(base::LogLevel::Info, "refused-by-target",
             {{"target", From.Value},
              {"status", this->Head.Status},
+             {"load", Load ? Load->Running + Load->Waiting : -1},
+             {"slots", Load ? Load->Slots : -1},
+             {"expected_load", this->SentAs.Load},
+             {"after_ms", base::millisOf(this->now() - this->SentAt)},
              {"attempt", this->Attempt}});
   if (this->Facts.Model.empty())
     this->TriedTargets.insert(From);
   // An engine that refuses despite free slots has a load or unload order in
   // progress that concerns the model or adapter.
-  const auto &Load = this->HeadFacts.Load;
   bool Ordered = !this->Facts.Model.empty() && Load &&
                  Load->Running + Load->Waiting < Load->Slots;
   if (this->HeadFacts.Misdirected || Ordered)
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -86,6 +86,10 @@
   void countUse();
   std::int64_t tokenCost() const;
   dispatch::TargetQuery query() const;
+  /// What requests wait for in line: the model and adapter of a service.
+  std::string pool() const;
+  /// From 0, served first, to 9, by the account's or the route's priority.
+  unsigned urgency() const;
 
   /// Refuses the request if less of the demand for its model is admitted.
   /// Returns whether the request has ended.
