Shared places count what targets queue, and only where all want them

Change: the part of an instance counts up to twice the slots, applies only where most copies of a model are busy or requests wait, and not to plain services. The targets of the test queue twice what they run, like engines.

--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -147,32 +147,27 @@
     if (Figures.LoadAt <= TargetState->LoadAt)
       continue;
     TargetState->Slowness = Figures.Slowness;
-    this->drawPlaces(*TargetState, Figures);
     this->recordLoad(*TargetState, {Figures.Load, 0, Figures.Slots, {}},
                      Figures.LoadAt);
+    this->drawPlaces(*TargetState);
   }
 }
 
-void TargetSelector::drawPlaces(State &Of, const TargetFigures &Figures) {
-  auto Slots = static_cast<double>(std::max<std::int64_t>(1, Figures.Slots));
-  auto Load = static_cast<double>(Figures.Load);
-  // The places of requests that have ended are in the published load.
-  Of.FreePlaces = Of.OwnPlaces = 0;
-  Of.Scarce = Load >= this->Settings.ScarceShare * Slots;
-  Of.Queues = Load > Slots;
-  if (Load >= Slots)
+void TargetSelector::drawPlaces(State &Of) {
+  double Free = this->Settings.ContendedFill * static_cast<double>(Of.Slots) -
+                static_cast<double>(Of.StatedLoad);
+  if (Free <= 0)
     return;
   double Contenders = std::max(1.0, this->Settings.ContenderShare *
                                         static_cast<double>(this->Instances));
-  double Part = (Slots - Load) / Contenders;
+  double Part = Free / Contenders;
   std::bernoulli_distribution Draw(Part - std::floor(Part));
   Of.FreePlaces = static_cast<unsigned>(Part) + (Draw(this->Random) ? 1U : 0U);
 }
 
-bool TargetSelector::mayUsePlace(const State &TargetState, bool Contended,
+bool TargetSelector::mayUsePlace(const State &TargetState,
                                  base::TimePoint Now) const {
-  bool Shared = TargetState.Scarce || Contended;
-  return !Shared || !this->hasFigures(TargetState, Now) ||
+  return !this->hasFigures(TargetState, Now) ||
          TargetState.OwnPlaces + TargetState.FreePlaces > 0;
 }
 
@@ -460,12 +455,13 @@
   }
   // Where most copies are busy, what looks free is wanted by all instances.
   bool Contended = Query.Waits || 2 * ScarceHolders >= std::max(1U, Holders);
-  if (HaveFigures) {
+  // Plain services queue rounds of requests and still meet the objective.
+  if (HaveFigures && Contended && !Query.Model.empty())
     std::erase_if(Eligible, [&](const catalog::Target *Each) {
-      return !this->mayUsePlace(*this->stateOf(Each->Entry.Id), Contended, Now);
+      return !this->mayUsePlace(*this->stateOf(Each->Entry.Id), Now);
     });
+  if (HaveFigures)
     this->drawCandidates(Eligible, Prompt);
-  }
   const catalog::Target *Best = nullptr;
   double BestCost = std::numeric_limits<double>::max();
   for (const catalog::Target *Each : Eligible) {
@@ -512,9 +508,14 @@
 }
 
 void TargetSelector::recordLoad(State &To, const StatedLoad &Load,
-                                base::TimePoint At) {
+                                base::TimePoint At) const {
   To.Slots = Load.Slots;
   To.LoadAt = At;
+  To.StatedLoad = Load.Running + Load.Waiting;
+  To.Scarce = static_cast<double>(To.StatedLoad) >=
+              this->Settings.ScarceShare * static_cast<double>(Load.Slots);
+  // The places of requests that have ended are in the stated load.
+  To.FreePlaces = To.OwnPlaces = 0;
   routing::LoadReport Report;
   Report.Sequence = ++To.Reports;
   Report.MeasuredAt = At;
@@ -536,8 +537,7 @@
   if (TargetState == nullptr)
     return;
   constexpr unsigned MaxOwnPlaces = 4;
-  // What queues at the target takes the place otherwise.
-  if (TargetState->Scarce && !TargetState->Queues && How != AttemptEnd::Refused)
+  if (How != AttemptEnd::Refused)
     TargetState->OwnPlaces = std::min(TargetState->OwnPlaces + 1, MaxOwnPlaces);
   bool Broken = How == AttemptEnd::Broken;
   bool Served = How == AttemptEnd::Served;
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -17,12 +17,11 @@
 /// and speed that all have seen: all of them choosing the least loaded target
 /// of one table would send everything there.
 ///
-/// Load pattern: all copies of a model are full, and requests for it wait at
-/// all instances. Each of them would send one to every place that becomes free.
-/// Where places are scarce, or requests wait, an instance may replace a request
-/// of its own that has ended, and uses its part of the places that are
-/// published as free, so that about as many requests follow as there are
-/// places.
+/// Load pattern: most copies of a model are busy, and requests for it wait at
+/// all instances. Each of them would send several to a copy that has just been
+/// loaded or that the last figures showed idle. An instance then sends only its
+/// part of what such a target takes, and one for each of its own that has
+/// ended.
 
 #include "base/clock.h"
 #include "catalog/target.h"
@@ -125,6 +124,9 @@
   std::chrono::milliseconds PublishedLoadDecay{3000};
   /// Share of the slots from which on places are scarce.
   double ScarceShare = 0.75;
+  /// Multiple of its slots up to which a target is filled that all instances
+  /// want at once: engines queue about twice as many as they run.
+  double ContendedFill = 2;
   /// Instances that have a request for a published free place before the next
   /// figures, as a share of all; engines queue a few requests too many.
   double ContenderShare = 0.7;
@@ -227,11 +229,11 @@
     double Pace = 1;
     double Limit = 0;
     base::TimePoint FiguresAt;
-    /// When its load was published last, places were scarce, or requests queued
-    /// there already; and how many requests this instance may send since: for
-    /// its own that have ended, and for places that were published as free.
+    /// Its load as stated last, and whether places were scarce then; how many
+    /// requests this instance may send since while the model is wanted by all:
+    /// for its own that have ended, and for places that were published as free.
+    std::int64_t StatedLoad = 0;
     bool Scarce = false;
-    bool Queues = false;
     unsigned OwnPlaces = 0;
     unsigned FreePlaces = 0;
     /// Models and adapters that the target was found to lack, each with the
@@ -255,11 +257,10 @@
 
   State *stateOf(const base::TargetId &Id);
   /// Draws this instance's part of the places that were published as free.
-  void drawPlaces(State &Of, const TargetFigures &Figures);
-  bool mayUsePlace(const State &TargetState, bool Contended,
-                   base::TimePoint Now) const;
+  void drawPlaces(State &Of);
+  bool mayUsePlace(const State &TargetState, base::TimePoint Now) const;
   static void usePlace(State &TargetState);
-  static void recordLoad(State &To, const StatedLoad &Load, base::TimePoint At);
+  void recordLoad(State &To, const StatedLoad &Load, base::TimePoint At) const;
   /// Null if the target has reported nothing in this lifetime.
   const SelfReport *selfReportOf(const catalog::Target &Target) const;
   /// The report of the target's current lifetime, for modification; null if the
