The limit of silence grows to twice the usual at most

Cause: slowness and pace may multiply to over a hundred, so that a target that hangs would never have been given up. Change: the factor is bounded; callers abandon a stream after two seconds.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -66,6 +66,9 @@
   /// answer has begun).
   double SilenceObjectives = 4;
   std::chrono::milliseconds MinSilence{800};
+  /// How many times longer a slow target may be silent: callers abandon a
+  /// stream after two seconds.
+  double MaxSilenceFactor = 2;
   /// Requests are rejected for an unknown route or key only if the catalog is
   /// known to have been the newest within this time.
   std::chrono::milliseconds CatalogProofFor{1800};
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -959,7 +959,7 @@
                             Objective * Settings.SilenceObjectives));
   // A slow target that works is silent for longer than others.
   return std::chrono::duration_cast<std::chrono::milliseconds>(
-      Usual * std::max(Slowness, 1.0));
+      Usual * std::clamp(Slowness, 1.0, Settings.MaxSilenceFactor));
 }
 
 void Exchange::armTimer() {
