A model that was short at an instance counts as wanted by all

Cause: a copy that has just been loaded was the only one of its model, so that no other busy copy showed that all instances want it: 235 requests of 55 instances reached it within 250 ms, 209 were refused. Published loads were discounted within 3 s while targets stayed full. Change: for a second after one of its requests has found no target, an instance takes only its part of what the model's targets take. Published loads are discounted with a time constant of 6 s.

--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -411,6 +411,13 @@
     From.push_back(Kept);
 }
 
+bool TargetSelector::isShort(const TargetQuery &Query,
+                             base::TimePoint Now) const {
+  auto Found = this->ShortAt.find({Query.Service, Query.Model});
+  return Found != this->ShortAt.end() &&
+         Now < Found->second + this->Settings.ShortageDuration;
+}
+
 TargetChoice TargetSelector::choose(const TargetQuery &Query,
                                     base::TimePoint Now) {
   if (!this->Targets)
@@ -454,7 +461,8 @@
     Eligible.push_back(&Target);
   }
   // Where most copies are busy, what looks free is wanted by all instances.
-  bool Contended = Query.Waits || 2 * ScarceHolders >= std::max(1U, Holders);
+  bool Contended = Query.Waits || this->isShort(Query, Now) ||
+                   2 * ScarceHolders >= std::max(1U, Holders);
   // Plain services queue rounds of requests and still meet the objective.
   if (HaveFigures && Contended && !Query.Model.empty())
     std::erase_if(Eligible, [&](const catalog::Target *Each) {
@@ -474,6 +482,8 @@
   }
   if (Best != nullptr)
     return SendTo{Best->Entry.Id};
+  if (this->hasFigures(Query.Service, Now))
+    this->ShortAt[{Query.Service, Query.Model}] = Now;
   if (AnyHolds)
     return AllFull{AllWait ? FirstWait : std::nullopt};
   if (Any)
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -121,7 +121,10 @@
   double PlaceWaitMillis = 120;
   /// Time constant by which published loads are discounted: about the duration
   /// of a stream.
-  std::chrono::milliseconds PublishedLoadDecay{3000};
+  std::chrono::milliseconds PublishedLoadDecay{6000};
+  /// A model counts as wanted by all instances for this long after one of its
+  /// requests found no target here.
+  std::chrono::milliseconds ShortageDuration{1000};
   /// Share of the slots from which on places are scarce.
   double ScarceShare = 0.75;
   /// Multiple of its slots up to which a target is filled that all instances
@@ -260,6 +263,8 @@
   void drawPlaces(State &Of);
   bool mayUsePlace(const State &TargetState, base::TimePoint Now) const;
   static void usePlace(State &TargetState);
+  /// Whether a request for the model has found no target lately.
+  bool isShort(const TargetQuery &Query, base::TimePoint Now) const;
   void recordLoad(State &To, const StatedLoad &Load, base::TimePoint At) const;
   /// Null if the target has reported nothing in this lifetime.
   const SelfReport *selfReportOf(const catalog::Target &Target) const;
@@ -311,6 +316,8 @@
   base::TimePoint HeldUntil;
   std::map<base::TargetId, SelfReport> SelfReports;
   std::map<ServiceModel, base::TimePoint> Loading;
+  /// When a request for the model last found no target with a place.
+  std::map<ServiceModel, base::TimePoint> ShortAt;
   unsigned Instances = 1;
   std::mt19937_64 Random;
 };
