--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -411,6 +411,13 @@
     From.push_back(Kept);
 }
 
+bool TargetSelector::isListedModel(const TargetQuery &Query) const {
+  const catalog::Service *Service =
+      this->Catalog ? this->Catalog->service(Query.Service) : nullptr;
+  return Service != nullptr && Service->Engine &&
+         Service->Engine->Models.count(Query.Model) != 0;
+}
+
 bool TargetSelector::isShort(const TargetQuery &Query,
                              base::TimePoint Now) const {
   auto Found = this->ShortAt.find({Query.Service, Query.Model});
@@ -482,7 +489,8 @@
   }
   if (Best != nullptr)
     return SendTo{Best->Entry.Id};
-  if (this->hasFigures(Query.Service, Now))
+  // Callers may name any model; only those of the catalog are remembered.
+  if (this->hasFigures(Query.Service, Now) && this->isListedModel(Query))
     this->ShortAt[{Query.Service, Query.Model}] = Now;
   if (AnyHolds)
     return AllFull{AllWait ? FirstWait : std::nullopt};
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -119,8 +119,8 @@
   /// each that has to wait for a place there.
   double BeyondLimitMillis = 60;
   double PlaceWaitMillis = 120;
-  /// Time constant by which published loads are discounted: about the duration
-  /// of a stream.
+  /// Time constant by which published loads are discounted: several times the
+  /// duration of a stream, as others go on sending.
   std::chrono::milliseconds PublishedLoadDecay{6000};
   /// A model counts as wanted by all instances for this long after one of its
   /// requests found no target here.
@@ -263,6 +263,7 @@
   void drawPlaces(State &Of);
   bool mayUsePlace(const State &TargetState, base::TimePoint Now) const;
   static void usePlace(State &TargetState);
+  bool isListedModel(const TargetQuery &Query) const;
   /// Whether a request for the model has found no target lately.
   bool isShort(const TargetQuery &Query, base::TimePoint Now) const;
   void recordLoad(State &To, const StatedLoad &Load, base::TimePoint At) const;
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -253,10 +253,18 @@
     this->dispatch();
 }
 
+/// Whether arrivals of the request's model are counted: where the holder
+/// publishes figures, and only of models of the catalog, as callers may name
+/// any.
+bool Exchange::countsArrivals() const {
+  const catalog::Service *Of = this->Catalog->service(this->Service);
+  return Of != nullptr && Of->Engine &&
+         Of->Engine->Models.count(this->Facts.Model) != 0 &&
+         this->Context.Selector.hasFigures(this->Service, this->now());
+}
+
 bool Exchange::refuseIfOverloaded() {
-  // Only where the holder publishes figures: these report arrivals, too.
-  if (this->Facts.Model.empty() ||
-      !this->Context.Selector.hasFigures(this->Service, this->now()))
+  if (!this->countsArrivals())
     return false;
   std::uniform_real_distribution<double> Draw(0, 1);
   overload::Asking Request{{this->Service, this->Facts.Model},
@@ -525,8 +533,7 @@
       To, this->TargetLifetime, this->Context.Selector.load(To, Now),
       this->Context.Selector.slots(To),
       this->Context.Selector.expectedMillis(this->query(), To, Now)};
-  if (!this->Facts.Model.empty() &&
-      this->Context.Selector.hasFigures(this->Service, Now))
+  if (this->countsArrivals())
     this->Context.Admission.onSent({this->Service, this->Facts.Model});
   this->Context.Selector.onSent(this->query(), To, Now);
   auto Guarded = [this, Current, Self = this->shared_from_this()](auto Take) {
@@ -852,8 +859,7 @@
   else {
     this->Context.Selector.onFull(From, this->now());
     this->Context.Samples.onFull(From, this->TargetLifetime);
-    if (!this->Facts.Model.empty() &&
-        this->Context.Selector.hasFigures(this->Service, this->now()))
+    if (this->countsArrivals())
       this->Context.Admission.onFull({this->Service, this->Facts.Model});
   }
   bool Again = this->Refusals < MaxRefusals &&
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -94,6 +94,7 @@
   /// Refuses the request if less of the demand for its model is admitted.
   /// Returns whether the request has ended.
   bool refuseIfOverloaded();
+  bool countsArrivals() const;
   void dispatch();
   void queueOrRefuse();
   void endWithoutTarget(const dispatch::RefuseNow &Why);
