--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -317,7 +317,8 @@
   /// followed only while the holder is silent or the record must be read.
   void updateHolderState(base::TimePoint Now) {
     bool Silent = Now > this->HolderHeardAt + this->Settings.HolderTimeout;
-    if (Silent && !this->HolderSilent && !this->Lease.claimedHere())
+    if (Silent && !this->HolderSilent && !this->Lease.claimedHere() &&
+        !this->Lease.mayReclaim(Now))
       this->Lease.forgetEnd();
     this->HolderSilent = Silent;
     this->Store.setCatalogWait(
@@ -407,7 +408,8 @@
   }
 
   void renewLease(base::TimePoint Now) {
-    if (!this->HolderSilent && !this->Lease.claimedHere())
+    if (!this->HolderSilent && !this->Lease.claimedHere() &&
+        !this->Lease.mayReclaim(Now))
       return;
     if (bool Behind = this->TickLag.isBehind(Now);
         !this->Lease.isYielding() && this->Role.shouldYield(Behind)) {
@@ -506,6 +508,9 @@
   }
 
   void applyAdmission(const wire::HolderReply &Reply) {
+    // Broadcasts of other news say nothing of levels.
+    if (!Reply.admission_included())
+      return;
     overload::AdmissionLevels New = readAdmission(Reply);
     // Without levels, nothing has to be confirmed.
     if (!New.empty() || this->HasLevels)
@@ -514,7 +519,7 @@
   }
 
   void applyDuties(const wire::HolderReply &Reply, base::TimePoint Now) {
-    if (Reply.wall_clock_ms() <= 0)
+    if (!duties::isPlausible(duties::WallMillis(Reply.wall_clock_ms())))
       return;
     this->WallOffset = std::chrono::milliseconds(Reply.wall_clock_ms()) -
                        Now.time_since_epoch();
--- a/src/control/internal/figuremessages.cpp
+++ b/src/control/internal/figuremessages.cpp
@@ -163,6 +163,7 @@
 
 void writeAdmission(const overload::AdmissionLevels &Levels,
                     wire::HolderReply &To) {
+  To.set_admission_included(true);
   for (const auto &[Key, Each] : Levels) {
     wire::AdmissionLevel &Out = *To.add_admission();
     Out.set_service(Key.first.Value);
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -331,7 +331,7 @@
 
 void HolderRole::setLeftState() {
   this->Lease.setState(writeHolderState(
-      this->LeftQuarantined, this->Reporter.reports(), this->Clock.now()));
+      this->LeftQuarantined, this->Reporter.state(), this->Clock.now()));
 }
 
 void HolderRole::updateAdmission(base::TimePoint Now) {
@@ -357,10 +357,17 @@
 void HolderRole::tickDuties(base::TimePoint Now) {
   if (!this->Reporter.enabled())
     return;
-  std::set<base::InstanceId> Expected;
-  for (const auto &[Id, Each] : this->Instances)
-    if (Now < Each.HeardAt + this->Settings.SilentForWindows)
-      Expected.insert(Id);
+  // A new holder waits until most of those that the one before knew have
+  // reported; without them their counts would be missing for good.
+  std::optional<std::set<base::InstanceId>> Expected;
+  bool Settled = Now >= this->HeldSince + this->Settings.SilentForWindows ||
+                 this->Instances.size() >= this->InheritedInstances;
+  if (Settled && !this->Instances.empty()) {
+    Expected.emplace();
+    for (const auto &[Id, Each] : this->Instances)
+      if (Now < Each.HeardAt + this->Settings.SilentForWindows)
+        Expected->insert(Id);
+  }
   if (this->Reporter.tick(Expected))
     this->setLeftState();
 }
--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -342,10 +342,11 @@
 }
 
 std::string writeHolderState(const dispatch::SuspectParts &Quarantined,
-                             const std::vector<duties::UsageReport> &Usage,
+                             const duties::UsageState &Usage,
                              base::TimePoint Now) {
   wire::HolderState Out;
-  for (const duties::UsageReport &Each : Usage) {
+  Out.set_settled_through(Usage.SettledThrough.Value);
+  for (const duties::UsageReport &Each : Usage.Reports) {
     wire::UsageReport &Report = *Out.add_usage();
     Report.set_window(Each.Window.Value);
     Report.set_accepted(Each.Accepted);
@@ -371,14 +372,15 @@
   return Out;
 }
 
-std::vector<duties::UsageReport> readUsageReports(const std::string &Bytes) {
-  std::vector<duties::UsageReport> Out;
+std::optional<duties::UsageState> readUsageState(const std::string &Bytes) {
   wire::HolderState From;
   // An unreadable state is logged by readHolderState().
   if (!From.ParseFromString(Bytes))
-    return Out;
+    return std::nullopt;
+  duties::UsageState Out;
+  Out.SettledThrough.Value = From.settled_through();
   for (const wire::UsageReport &Each : From.usage()) {
-    duties::UsageReport &New = Out.emplace_back();
+    duties::UsageReport &New = Out.Reports.emplace_back();
     New.Window.Value = Each.window();
     New.Accepted = Each.accepted();
     for (const auto &[Account, Count] : Each.counts())
--- a/src/control/internal/linkmessages.h
+++ b/src/control/internal/linkmessages.h
@@ -69,14 +69,14 @@
 
 /// The state that a holder leaves to the next one in the record of the lease.
 std::string writeHolderState(const dispatch::SuspectParts &Quarantined,
-                             const std::vector<duties::UsageReport> &Usage,
+                             const duties::UsageState &Usage,
                              base::TimePoint Now);
 /// Logs a state that can't be read, and returns nothing of it.
 dispatch::SuspectParts readHolderState(const std::string &Bytes,
                                        base::TimePoint Now);
 
-/// The reports of use in that state; none if it can't be read.
-std::vector<duties::UsageReport> readUsageReports(const std::string &Bytes);
+/// The reports of use in that state; nothing if it can't be read.
+std::optional<duties::UsageState> readUsageState(const std::string &Bytes);
 
 using LoadingModels = std::map<dispatch::ServiceModel, base::TimePoint>;
 
--- a/src/control/internal/usagereporter.cpp
+++ b/src/control/internal/usagereporter.cpp
@@ -42,34 +42,48 @@
                           const std::string &State) {
   this->Token = NewToken;
   // A lapsed lease that is renewed late goes on with what was counted.
-  if (std::exchange(this->StartedUnder, NewToken) == NewToken)
+  if (std::exchange(this->StartedUnder, NewToken) == NewToken) {
+    this->Changed = true;
     return;
+  }
   this->FleetTime.clear();
-  this->Started = false;
+  this->Started = this->MostHeard = false;
   this->StoredState.clear();
-  this->Inherited = readUsageReports(State);
+  auto Read = readUsageState(State);
+  this->MayBeIncomplete = !Read || this->Lease.followsLostRecords();
+  this->Inherited = Read.value_or(duties::UsageState{});
 }
 
 void UsageReporter::onReport(const wire::InstanceReport &Report,
                              wire::HolderReply &Reply) {
-  if (!this->enabled() || Report.wall_clock_ms() <= 0)
+  duties::WallMillis Stated(Report.wall_clock_ms());
+  if (!this->enabled() || !duties::isPlausible(Stated))
     return;
   base::TimePoint Now = this->Clock.now();
-  this->FleetTime.onReported({Report.instance()},
-                             duties::WallMillis(Report.wall_clock_ms()), Now);
-  duties::WallMillis Wall = *this->FleetTime.wallAt(Now);
-  Reply.set_wall_clock_ms(Wall.count());
-  if (!std::exchange(this->Started, true))
-    this->Ledger.start(std::move(this->Inherited), Wall,
-                       this->Lease.followsLostRecords());
+  this->FleetTime.onReported({Report.instance()}, Stated, Now);
+  // One clock alone may be wrong, and what was settled by it would stand.
+  auto Wall = this->MostHeard ? this->FleetTime.wallAt(Now) : std::nullopt;
+  if (!Wall)
+    return;
+  Reply.set_wall_clock_ms(Wall->count());
+  if (!std::exchange(this->Started, true)) {
+    this->Ledger.start(std::move(this->Inherited), *Wall,
+                       this->MayBeIncomplete);
+    this->Changed = true;
+  }
+  duties::WindowId Current =
+      duties::windowAt(*Wall, this->Settings.UsageReports->WindowLength);
+  duties::WindowId Through{std::min(Report.begun_through(), Current.Value - 1)};
   std::map<duties::WindowId, duties::BegunCounts> Begun;
   for (const wire::BegunCount &Each : Report.begun())
     Begun[{Each.window()}][{Each.account()}] = Each.count();
-  this->Ledger.onCounts({Report.instance()}, {Report.begun_through()}, Begun);
-  Reply.set_begun_through(Report.begun_through());
+  this->Ledger.onCounts({Report.instance()}, Through, Begun);
+  Reply.set_begun_through(Through.Value);
 }
 
-bool UsageReporter::tick(const std::set<base::InstanceId> &Instances) {
+bool UsageReporter::tick(
+    const std::optional<std::set<base::InstanceId>> &Instances) {
+  this->MostHeard = this->MostHeard || Instances.has_value();
   base::TimePoint Now = this->Clock.now();
   auto Wall = this->FleetTime.wallAt(Now);
   if (!this->enabled() || !this->Token || !this->Started || !Wall)
@@ -78,7 +92,8 @@
   if (this->Lease.claimedHere() &&
       this->StoredState != this->Lease.record()->State) {
     this->StoredState = this->Lease.record()->State;
-    this->Ledger.onStored(readUsageReports(this->StoredState));
+    if (auto Stored = readUsageState(this->StoredState))
+      this->Ledger.onStored(Stored->Reports);
   }
   if (this->Lease.orderToken(subject(), Now) == this->Token)
     if (auto Due = this->Ledger.takeDue(*Wall))
--- a/src/control/internal/usagereporter.h
+++ b/src/control/internal/usagereporter.h
@@ -31,10 +31,13 @@
   void start(residency::FencingToken Token, const std::string &State);
   void stop() { this->Token.reset(); }
   void onReport(const wire::InstanceReport &Report, wire::HolderReply &Reply);
-  /// Settles and sends what is due. Returns whether reports() has changed.
-  bool tick(const std::set<base::InstanceId> &Instances);
-  const std::vector<duties::UsageReport> &reports() const {
-    return this->Ledger.reports();
+  /// Settles and sends what is due. \p Instances: those that are expected to
+  /// report, or none while a new holder does not know them. Returns whether
+  /// state() has changed.
+  bool tick(const std::optional<std::set<base::InstanceId>> &Instances);
+  /// What the next holder takes over.
+  duties::UsageState state() const {
+    return this->Started ? this->Ledger.state() : this->Inherited;
   }
 
 private:
@@ -52,9 +55,13 @@
   duties::UsageLedger Ledger;
   std::optional<residency::FencingToken> Token;
   std::optional<residency::FencingToken> StartedUnder;
+  /// Most instances have reported to this holder.
+  bool MostHeard = false;
   bool Started = false;
   /// What the record had that this holder started from.
-  std::vector<duties::UsageReport> Inherited;
+  duties::UsageState Inherited;
+  /// What the record had could not be read, so that it may have had any report.
+  bool MayBeIncomplete = false;
   std::string StoredState;
   bool Changed = false;
 };
--- a/src/control/tests/linkmessagestest.cpp
+++ b/src/control/tests/linkmessagestest.cpp
@@ -105,11 +105,11 @@
   std::string State = writeHolderState({{{7}, Suspect}}, {}, Start);
   EXPECT_EQ(readHolderState(State, Start).at({7}), Suspect);
   EXPECT_TRUE(readHolderState("\xff\xff", Start).empty());
-  std::vector<duties::UsageReport> Usage = {{{5}, {{{"a"}, 3}}, true},
-                                            {{6}, {{{"a"}, 0}}, false}};
-  EXPECT_EQ(readUsageReports(writeHolderState({{{7}, Suspect}}, Usage, Start)),
+  duties::UsageState Usage = {
+      {{{5}, {{{"a"}, 3}}, true}, {{6}, {{{"a"}, 0}}, false}}, {6}};
+  EXPECT_EQ(readUsageState(writeHolderState({{{7}, Suspect}}, Usage, Start)),
             Usage);
-  EXPECT_TRUE(readUsageReports("\xff\xff").empty());
+  EXPECT_FALSE(readUsageState("\xff\xff"));
 
   dispatch::CrashEvidence Evidence;
   Evidence.Ends = {{{"t"}, {5}, Start, {{{1}, {2}}, {{3}}}}};
--- a/src/duties/internal/beguncounts.cpp
+++ b/src/duties/internal/beguncounts.cpp
@@ -5,6 +5,9 @@
 namespace kingcuphub::duties {
 
 void BegunReport::add(WindowId Window, const BegunCounts &Begun) {
+  // Counts may follow a report of their window, taken at its very end.
+  if (this->Confirmed && Window <= *this->Confirmed && Window.Value > 0)
+    this->Confirmed = WindowId{Window.Value - 1};
   for (const auto &[Account, Count] : Begun)
     this->Windows[Window][Account] += Count;
 }
--- a/src/duties/internal/usageledger.cpp
+++ b/src/duties/internal/usageledger.cpp
@@ -5,24 +5,23 @@
 
 namespace kingcuphub::duties {
 
-void UsageLedger::start(std::vector<UsageReport> Left, WallMillis Now,
+void UsageLedger::start(UsageState Inherited, WallMillis Now,
                         bool MayBeIncomplete) {
   UsageLedgerSettings Kept = this->Settings;
   *this = UsageLedger(Kept);
-  this->Reports = std::move(Left);
-  for (const UsageReport &Each : this->Reports) {
-    // They stand in the record that this holder's claim was appended with.
-    this->Stored.insert(Each.Window);
-    this->Settled = std::max(this->Settled.value_or(Each.Window), Each.Window);
-  }
+  this->Started = true;
+  this->Reports = std::move(Inherited.Reports);
+  this->SettledThrough = Inherited.SettledThrough;
+  for (const UsageReport &Each : this->Reports)
+    this->SettledThrough = std::max(this->SettledThrough, Each.Window);
   // Windows that ended long ago are not worth a report any more.
   WallMillis Oldest = std::max(Now - this->Settings.KeepFor, WallMillis(0));
   this->From = windowAt(Oldest, this->Settings.WindowLength);
-  if (this->Settled)
-    this->From = std::max(*this->From, WindowId{this->Settled->Value + 1});
-  if (MayBeIncomplete)
-    this->From =
-        std::max(*this->From, windowAt(Now, this->Settings.WindowLength));
+  WindowId Current =
+      windowAt(std::max(Now, WallMillis(0)), this->Settings.WindowLength);
+  if (MayBeIncomplete && Current.Value > 0)
+    this->SettledThrough =
+        std::max(this->SettledThrough, WindowId{Current.Value - 1});
 }
 
 UsageReport *UsageLedger::find(WindowId Window) {
@@ -35,7 +34,7 @@
 void UsageLedger::onCounts(const base::InstanceId &From, WindowId Through,
                            const std::map<WindowId, BegunCounts> &Begun) {
   for (const auto &[Window, Counts] : Begun)
-    if (!this->Settled || *this->Settled < Window)
+    if (this->SettledThrough < Window && Window <= Through)
       this->Open[Window][From] = Counts;
   WindowId &Known = this->Complete[From];
   Known = std::max(Known, Through);
@@ -48,35 +47,42 @@
       for (const auto &[Account, Count] : Counts)
         New.Counts[Account] += Count;
   this->Open.erase(Window);
-  this->Settled = Window;
+  this->SettledThrough = Window;
   this->Reports.push_back(std::move(New));
 }
 
-bool UsageLedger::settle(const std::set<base::InstanceId> &Instances,
-                         WallMillis Now) {
-  if (!this->From)
+bool UsageLedger::isComplete(
+    const std::optional<std::set<base::InstanceId>> &Instances,
+    WindowId Window) const {
+  return Instances && std::all_of(Instances->begin(), Instances->end(),
+                                  [&](const base::InstanceId &Each) {
+                                    auto Found = this->Complete.find(Each);
+                                    return Found != this->Complete.end() &&
+                                           Window <= Found->second;
+                                  });
+}
+
+bool UsageLedger::settle(
+    const std::optional<std::set<base::InstanceId>> &Instances,
+    WallMillis Now) {
+  if (!this->Started)
     return false;
-  std::size_t Dropped = std::erase_if(this->Reports, [&](const auto &Each) {
-    return Now > endOf(Each.Window, this->Settings.WindowLength) +
-                     this->Settings.KeepFor;
-  });
-  bool Changed = Dropped > 0;
-  auto IsComplete = [&](WindowId Window) {
-    return std::all_of(
-        Instances.begin(), Instances.end(), [&](const base::InstanceId &Each) {
-          auto Found = this->Complete.find(Each);
-          return Found != this->Complete.end() && Window <= Found->second;
-        });
-  };
-  if (!this->Settled && this->Open.empty())
+  bool Changed =
+      std::erase_if(this->Reports, [&](const auto &Each) {
+        return Now > endOf(Each.Window, this->Settings.WindowLength) +
+                         this->Settings.KeepFor;
+      }) > 0;
+  // Nothing was counted yet, since the deployment began.
+  if (this->SettledThrough == WindowId{} && this->Open.empty())
     return Changed;
-  WindowId Next = this->Settled ? WindowId{this->Settled->Value + 1}
-                                : this->Open.begin()->first;
-  Next = std::max(Next, *this->From);
-  for (;; Next.Value += 1) {
+  WindowId Next = this->SettledThrough == WindowId{}
+                      ? this->Open.begin()->first
+                      : WindowId{this->SettledThrough.Value + 1};
+  for (Next = std::max(Next, this->From);; Next.Value += 1) {
     WallMillis End = endOf(Next, this->Settings.WindowLength);
     bool Due = Now >= End + this->Settings.SettleAtLatest ||
-               (Now >= End + this->Settings.SettleAfter && IsComplete(Next));
+               (Now >= End + this->Settings.SettleAfter &&
+                this->isComplete(Instances, Next));
     if (!Due)
       return Changed;
     this->settleWindow(Next);
--- a/src/duties/tests/usageledgertest.cpp
+++ b/src/duties/tests/usageledgertest.cpp
@@ -40,15 +40,15 @@
   Ledger.start({}, inWindow(100));
   Ledger.onCounts(One, {100}, counts(100, 7));
   WallMillis Now = inWindow(101, milliseconds(700));
-  EXPECT_FALSE(Ledger.settle({One, Two}, Now));
+  EXPECT_FALSE(Ledger.settle({{One, Two}}, Now));
   Ledger.onCounts(Two, {100}, counts(100, 5));
   Ledger.onCounts(Two, {100}, counts(100, 5));
-  ASSERT_TRUE(Ledger.settle({One, Two}, Now));
+  ASSERT_TRUE(Ledger.settle({{One, Two}}, Now));
   ASSERT_EQ(Ledger.reports().size(), 1U);
   EXPECT_EQ(Ledger.reports()[0].Counts.at(Acme), 12U);
   // A late report changes nothing.
   Ledger.onCounts(One, {100}, counts(100, 9));
-  Ledger.settle({One, Two}, Now);
+  Ledger.settle({{One, Two}}, Now);
   EXPECT_EQ(Ledger.reports()[0].Counts.at(Acme), 12U);
 }
 
@@ -58,8 +58,8 @@
   UsageLedger Ledger(settings());
   Ledger.start({}, inWindow(100));
   Ledger.onCounts(One, {100}, counts(100, 7));
-  EXPECT_FALSE(Ledger.settle({One, Two}, inWindow(101, milliseconds(4900))));
-  EXPECT_TRUE(Ledger.settle({One, Two}, inWindow(102)));
+  EXPECT_FALSE(Ledger.settle({{One, Two}}, inWindow(101, milliseconds(4900))));
+  EXPECT_TRUE(Ledger.settle({{One, Two}}, inWindow(102)));
 }
 
 // Guards against sending counts that a later holder does not know: it would
@@ -69,7 +69,7 @@
   Ledger.start({}, inWindow(100));
   Ledger.onCounts(One, {100}, counts(100, 7));
   WallMillis Now = inWindow(101, milliseconds(700));
-  ASSERT_TRUE(Ledger.settle({One}, Now));
+  ASSERT_TRUE(Ledger.settle({{One}}, Now));
   EXPECT_FALSE(Ledger.takeDue(Now));
   Ledger.onStored({{{100}, {{Acme, 8}}, false}});
   EXPECT_FALSE(Ledger.takeDue(Now)) << "other counts were stored";
@@ -90,7 +90,7 @@
 /// holder had enough time for.
 RC_GTEST_PROP(UsageLedgerTest, HoldersInSeriesNeverSendOtherCounts, ()) {
   std::map<WindowId, BegunCounts> Sent;
-  std::vector<UsageReport> Record;
+  UsageState Record;
   BegunReport FirstBegun(6);
   BegunReport SecondBegun(6);
   auto Ledger = std::make_unique<UsageLedger>(settings());
@@ -111,7 +111,7 @@
     case 2: // A report is lost.
       break;
     case 3: // The record is not appended in this step.
-      Ledger->settle({One, Two}, Now);
+      Ledger->settle({{One, Two}}, Now);
       break;
     default:
       Ledger->onCounts(One, {Current.Value - 1},
@@ -120,9 +120,9 @@
       Ledger->onCounts(Two, {Current.Value - 1},
                        SecondBegun.unconfirmed(Current));
       SecondBegun.onConfirmed({Current.Value - 1});
-      Ledger->settle({One, Two}, Now);
-      Record = Ledger->reports();
-      Ledger->onStored(Record);
+      Ledger->settle({{One, Two}}, Now);
+      Record = Ledger->state();
+      Ledger->onStored(Record.Reports);
     }
     while (auto Due = Ledger->takeDue(Now)) {
       auto [Known, New] = Sent.try_emplace(Due->Window, Due->Counts);
@@ -137,17 +137,47 @@
 // what the holder before may have sent.
 TEST(UsageLedgerTest, WindowsOfAnIncompleteRecordAreLeftOut) {
   UsageLedger Ledger(settings());
-  Ledger.start({{{98}, {{Acme, 3}}, false}}, inWindow(101, milliseconds(700)),
-               true);
+  Ledger.start({{{{98}, {{Acme, 3}}, false}}, {98}},
+               inWindow(101, milliseconds(700)), true);
   Ledger.onCounts(One, {100}, counts(100, 7));
-  Ledger.settle({One}, inWindow(101, milliseconds(800)));
+  Ledger.settle({{One}}, inWindow(101, milliseconds(800)));
   EXPECT_EQ(Ledger.reports().size(), 1U);
   Ledger.onCounts(One, {101}, counts(101, 2));
-  Ledger.settle({One}, inWindow(102, milliseconds(700)));
+  Ledger.settle({{One}}, inWindow(102, milliseconds(700)));
   ASSERT_EQ(Ledger.reports().size(), 2U);
   EXPECT_EQ(Ledger.reports().back().Window.Value, 101U);
 }
 
+// Failure: the holder after a loss is replaced before it has settled a window.
+TEST(UsageLedgerTest, WindowsThatWereLeftOutStaySoForLaterHolders) {
+  UsageLedger First(settings());
+  First.start({}, inWindow(101), true);
+  UsageLedger Next(settings());
+  Next.start(First.state(), inWindow(101, milliseconds(900)));
+  Next.onCounts(One, {100}, counts(100, 7));
+  EXPECT_FALSE(Next.settle({{One}}, inWindow(101, milliseconds(1000))));
+  EXPECT_TRUE(Next.reports().empty());
+}
+
+// Guards against settling a window with the counts of the instances that happen
+// to report first to a new holder.
+TEST(UsageLedgerTest, ANewHolderThatDoesNotKnowTheInstancesWaits) {
+  UsageLedger Ledger(settings());
+  Ledger.start({}, inWindow(101));
+  Ledger.onCounts(One, {100}, counts(100, 7));
+  EXPECT_FALSE(Ledger.settle(std::nullopt, inWindow(101, milliseconds(700))));
+  EXPECT_TRUE(Ledger.settle(std::nullopt, inWindow(102)));
+}
+
+TEST(BegunReportTest, CountsThatFollowAReportOfTheirWindowAreReported) {
+  BegunReport Begun(6);
+  Begun.add({100}, {{Acme, 3}});
+  Begun.onConfirmed({100});
+  EXPECT_TRUE(Begun.unconfirmed({101}).empty());
+  Begun.add({100}, {{Acme, 1}});
+  EXPECT_EQ(Begun.unconfirmed({101}).at({100}).at(Acme), 4U);
+}
+
 // Guards against counts in the wrong window after the time of day has jumped on
 // some instances, the holder among them.
 TEST(FleetClockTest, TheTimeOfMostInstancesCounts) {
--- a/src/duties/usageledger.h
+++ b/src/duties/usageledger.h
@@ -28,6 +28,15 @@
   bool operator==(const UsageReport &) const = default;
 };
 
+/// What the record of the lease carries for the next holder.
+struct UsageState {
+  std::vector<UsageReport> Reports;
+  /// No window up to here may be settled any more: it was, or an earlier holder
+  /// may have sent a report of it that was lost.
+  WindowId SettledThrough;
+  bool operator==(const UsageState &) const = default;
+};
+
 struct UsageLedgerSettings {
   std::chrono::milliseconds WindowLength{5000};
   /// A window is settled this long after its end at the earliest: requests that
@@ -49,17 +58,20 @@
   /// Starts as a new holder with what the record of the lease has. With
   /// \p MayBeIncomplete, an earlier holder may have sent reports that the
   /// record lacks, so that no window is reported that has begun before.
-  void start(std::vector<UsageReport> Left, WallMillis Now,
+  void start(UsageState Inherited, WallMillis Now,
              bool MayBeIncomplete = false);
   /// Handles an instance's complete counts of the windows up to \p Through, of
   /// which \p Begun has those it has not been told are known.
   void onCounts(const base::InstanceId &From, WindowId Through,
                 const std::map<WindowId, BegunCounts> &Begun);
   /// Settles windows that are due, and drops old ones. \p Instances: those that
-  /// are expected to report. Returns whether reports() has changed.
-  bool settle(const std::set<base::InstanceId> &Instances, WallMillis Now);
-  /// What the record of the lease has to carry.
+  /// are expected to report, or none if that is not known yet. Returns whether
+  /// state() has changed.
+  bool settle(const std::optional<std::set<base::InstanceId>> &Instances,
+              WallMillis Now);
   const std::vector<UsageReport> &reports() const { return this->Reports; }
+  /// What the record of the lease has to carry.
+  UsageState state() const { return {this->Reports, this->SettledThrough}; }
   /// Handles that a record with \p Stored was appended under this holder's
   /// lease.
   void onStored(const std::vector<UsageReport> &Stored);
@@ -72,6 +84,8 @@
 private:
   UsageReport *find(WindowId Window);
   void settleWindow(WindowId Window);
+  bool isComplete(const std::optional<std::set<base::InstanceId>> &Instances,
+                  WindowId Window) const;
 
   UsageLedgerSettings Settings;
   std::vector<UsageReport> Reports;
@@ -79,10 +93,10 @@
   /// Counts of windows that are not settled, by instance.
   std::map<WindowId, std::map<base::InstanceId, BegunCounts>> Open;
   std::map<base::InstanceId, WindowId> Complete;
-  /// The first window that this holder may settle.
-  std::optional<WindowId> From;
-  /// The last window that was settled, here or by an earlier holder.
-  std::optional<WindowId> Settled;
+  bool Started = false;
+  /// The first window that is worth a report.
+  WindowId From;
+  WindowId SettledThrough;
   std::map<WindowId, WallMillis> SentAt;
   std::set<WindowId> UnderWay;
 };
--- a/src/duties/window.h
+++ b/src/duties/window.h
@@ -17,6 +17,13 @@
 
 using WallMillis = std::chrono::milliseconds;
 
+/// Times of day that may be true: the years 2001 to 2100. Others would overflow
+/// or name windows that never end.
+constexpr bool isPlausible(WallMillis Wall) {
+  return Wall > std::chrono::hours(24 * 365 * 31) &&
+         Wall < std::chrono::hours(24 * 365 * 130);
+}
+
 /// Requests of each account that began to run.
 using BegunCounts = std::map<base::AccountId, std::uint64_t>;
 
--- a/src/residency/holderlease.h
+++ b/src/residency/holderlease.h
@@ -13,7 +13,8 @@
 /// era. Offsets are given out again, so that a position in the log is an era
 /// and an offset, and tokens rise with the era. A record of an earlier era
 /// tells nothing about who has held the lease since: nobody claims it for a
-/// whole lease, except its undoubted holder. No I/O and no clock.
+/// whole lease, except an instance whose own lease was valid when it read the
+/// era. No I/O and no clock.
 
 #include "residency/orderledger.h"
 #include "residency/types.h"
@@ -226,6 +227,9 @@
   void setState(std::string New);
   bool needsRead() const { return !this->End.has_value(); }
   const std::optional<LeaseRecord> &record() const { return this->Latest; }
+  /// Whether this instance held the lease when it read the new era, so that
+  /// nobody else can hold it yet.
+  bool mayReclaim(base::TimePoint Now) const;
   /// Whether this instance's claim followed a record of an earlier era that was
   /// not its own valid one, so that what a holder did last is unknown.
   bool followsLostRecords() const { return this->ClaimFollowsLoss; }
@@ -254,9 +258,6 @@
   /// Whether the newest known record is of an earlier era, or none is left of
   /// one.
   bool isLost() const;
-  /// Whether this instance held the lease when the era changed and nobody else
-  /// can hold it yet.
-  bool mayReclaim(base::TimePoint Now) const;
   /// Whether the newest known record is this machine's, of any incarnation.
   bool isLatestOwn() const;
   /// When the lease may be claimed by the instance without any delay.
--- a/src/residency/internal/holderlease.cpp
+++ b/src/residency/internal/holderlease.cpp
@@ -147,13 +147,17 @@
   this->Predecessor = this->Latest;
   this->OrderFrom = this->earliestOrderTime(Now);
   bool Reclaims = this->mayReclaim(Now);
-  this->ClaimFollowsLoss = this->isLost() && !Reclaims;
+  bool Lost = this->isLost();
+  this->ClaimFollowsLoss = Lost && !Reclaims;
   this->Ledger.onClaim(Token, this->isLatestOwn() || Reclaims);
+  // The last record of a lapsed lease, or of an earlier era, does not list what
+  // was sent after it.
+  this->FollowsLapse =
+      !Reclaims && (Lost || (this->Latest && !this->Latest->Released &&
+                             !this->isLatestOwn()));
   if (!this->Latest || Reclaims)
     return;
   this->Ledger.inherit(this->Latest->Unsettled, this->ChangedAt, Now);
-  // The last record of a lapsed lease does not list what was sent after it.
-  this->FollowsLapse = !this->Latest->Released && !this->isLatestOwn();
 }
 
 void HolderLease::onReportedExpiry(LeaseLogEnd ReportedEnd,
