--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -143,8 +143,9 @@
     TargetState->FiguresAt = At;
     if (const catalog::Target *Target = this->find(Id))
       this->FiguresAt[Target->Entry.Service] = At;
-    TargetState->View.setReportDecay(this->Settings.PublishedLoadDecay);
-    if (Figures.LoadAt <= TargetState->LoadAt)
+    // Ages are rebuilt from each message, so that the same statement may seem a
+    // little newer the next time.
+    if (Figures.LoadAt <= TargetState->LoadAt + this->Settings.LoadAgeTolerance)
       continue;
     TargetState->Slowness = Figures.Slowness;
     this->recordLoad(*TargetState, {Figures.Load, 0, Figures.Slots, {}},
@@ -167,7 +168,7 @@
 
 bool TargetSelector::mayUsePlace(const State &TargetState,
                                  base::TimePoint Now) const {
-  return !this->hasFigures(TargetState, Now) ||
+  return !this->isLoadKnown(TargetState, Now) ||
          TargetState.OwnPlaces + TargetState.FreePlaces > 0;
 }
 
@@ -185,18 +186,32 @@
          Now < Found->second + this->Settings.FiguresValidFor;
 }
 
-double TargetSelector::slowness(const base::TargetId &Id) const {
+double TargetSelector::slowness(const base::TargetId &Id,
+                                base::TimePoint Now) const {
   auto Found = this->States.find(Id);
-  return Found == this->States.end()
-             ? 1
-             : Found->second.Slowness * Found->second.Pace;
+  if (Found == this->States.end())
+    return 1;
+  double Pace = this->hasFigures(Found->second, Now) ? Found->second.Pace : 1;
+  return this->statedSlowness(Found->second, Now) * Pace;
+}
+
+double TargetSelector::statedSlowness(const State &Of,
+                                      base::TimePoint Now) const {
+  return Now < Of.LoadAt + this->Settings.SlownessValidFor ? Of.Slowness : 1;
+}
+
+double TargetSelector::estimatedLoad(const State &Of,
+                                     base::TimePoint Now) const {
+  return this->hasFigures(Of, Now)
+             ? Of.View.estimatedLoad(Now, this->Settings.PublishedLoadDecay)
+             : Of.View.estimatedLoad(Now);
 }
 
 double TargetSelector::load(const base::TargetId &Id,
                             base::TimePoint Now) const {
   auto Found = this->States.find(Id);
   return Found == this->States.end() ? 0
-                                     : Found->second.View.estimatedLoad(Now);
+                                     : this->estimatedLoad(Found->second, Now);
 }
 
 std::int64_t TargetSelector::slots(const base::TargetId &Id) const {
@@ -214,9 +229,9 @@
   auto Found = this->States.find(Id);
   if (Target == nullptr || Found == this->States.end())
     return 0;
-  return Found->second.Slowness * this->usualMillis(*Target, Found->second,
-                                                    Query, promptChain(Query),
-                                                    Now);
+  return this->statedSlowness(Found->second, Now) *
+         this->usualMillis(*Target, Found->second, Query, promptChain(Query),
+                           Now);
 }
 
 void TargetSelector::setLoading(
@@ -312,7 +327,7 @@
 bool TargetSelector::isFull(const catalog::Target &Target,
                             const State &TargetState,
                             base::TimePoint Now) const {
-  return Now < TargetState.FullUntil || TargetState.View.estimatedLoad(Now) >=
+  return Now < TargetState.FullUntil || this->estimatedLoad(TargetState, Now) >=
                                             this->fullLoad(Target, TargetState);
 }
 
@@ -352,7 +367,7 @@
                                    const TargetQuery &Query,
                                    const PromptChain &Prompt,
                                    base::TimePoint Now) const {
-  double Load = TargetState.View.estimatedLoad(Now);
+  double Load = this->estimatedLoad(TargetState, Now);
   if (Query.Model.empty()) {
     // A plain service runs as many requests as it has slots and queues the
     // rest.
@@ -372,13 +387,13 @@
                             base::TimePoint Now) const {
   double Millis = this->usualMillis(Target, TargetState, Query, Prompt, Now);
   if (this->hasFigures(TargetState, Now)) {
-    double Load = TargetState.View.estimatedLoad(Now);
+    double Load = this->estimatedLoad(TargetState, Now);
     auto Slots = static_cast<double>(this->slots(Target.Entry.Id));
     double Limit = TargetState.Limit > 0 ? TargetState.Limit : Slots;
     Millis +=
         std::max(0.0, Load + 1 - Limit) * this->Settings.BeyondLimitMillis +
         std::max(0.0, Load + 1 - Slots) * this->Settings.PlaceWaitMillis;
-    Millis *= TargetState.Slowness * TargetState.Pace;
+    Millis *= this->statedSlowness(TargetState, Now) * TargetState.Pace;
   }
   if (Target.Entry.Zone != this->Settings.Zone)
     Millis += this->Settings.OtherZoneMillis;
@@ -418,6 +433,12 @@
          Service->Engine->Models.count(Query.Model) != 0;
 }
 
+void TargetSelector::onNoPlace(const TargetQuery &Query, base::TimePoint Now) {
+  // Callers may name any model; only those of the catalog are remembered.
+  if (this->hasFigures(Query.Service, Now) && this->isListedModel(Query))
+    this->ShortAt[{Query.Service, Query.Model}] = Now;
+}
+
 bool TargetSelector::isShort(const TargetQuery &Query,
                              base::TimePoint Now) const {
   auto Found = this->ShortAt.find({Query.Service, Query.Model});
@@ -457,7 +478,7 @@
     AllWait = false;
     Holders += 1;
     ScarceHolders +=
-        TargetState.Scarce && this->hasFigures(TargetState, Now) ? 1 : 0;
+        TargetState.Scarce && this->isLoadKnown(TargetState, Now) ? 1 : 0;
     if (TargetState.View.isBackingOff(Now) ||
         this->isFull(Target, TargetState, Now))
       continue;
@@ -489,9 +510,6 @@
   }
   if (Best != nullptr)
     return SendTo{Best->Entry.Id};
-  // Callers may name any model; only those of the catalog are remembered.
-  if (this->hasFigures(Query.Service, Now) && this->isListedModel(Query))
-    this->ShortAt[{Query.Service, Query.Model}] = Now;
   if (AnyHolds)
     return AllFull{AllWait ? FirstWait : std::nullopt};
   if (Any)
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -135,6 +135,12 @@
   double ContenderShare = 0.7;
   /// Figures that are older than this are not used.
   std::chrono::milliseconds FiguresValidFor{2000};
+  /// Difference up to which two times of a stated load may be the same
+  /// statement's.
+  std::chrono::milliseconds LoadAgeTolerance{20};
+  /// A slowness that was stated longer ago does not count, so that the target
+  /// is tried again.
+  std::chrono::milliseconds SlownessValidFor{10000};
   /// Weight of a newly stated slowness, which changes many times a second.
   double SlownessSmoothing = 0.3;
   std::uint64_t Seed = std::random_device{}();
@@ -182,13 +188,15 @@
   bool isModelHeld(const TargetQuery &Query, base::TimePoint Now) const;
 
   TargetChoice choose(const TargetQuery &Query, base::TimePoint Now);
+  /// A request that was sent to no target before has found none with a place.
+  void onNoPlace(const TargetQuery &Query, base::TimePoint Now);
   /// Returns whether the target may still be used; to be checked right before
   /// a request is sent.
   bool maySend(const base::TargetId &Id, base::TimePoint Now) const;
   const catalog::Target *find(const base::TargetId &Id) const;
   /// How long work takes at the target relative to usual, as far as is known;
   /// 1 otherwise.
-  double slowness(const base::TargetId &Id) const;
+  double slowness(const base::TargetId &Id, base::TimePoint Now) const;
   /// Estimated requests at the target.
   double load(const base::TargetId &Id, base::TimePoint Now) const;
   std::int64_t slots(const base::TargetId &Id) const;
@@ -263,6 +271,15 @@
   void drawPlaces(State &Of);
   bool mayUsePlace(const State &TargetState, base::TimePoint Now) const;
   static void usePlace(State &TargetState);
+  /// The slowness that the target has stated lately; 1 otherwise.
+  double statedSlowness(const State &Of, base::TimePoint Now) const;
+  double estimatedLoad(const State &Of, base::TimePoint Now) const;
+  /// Whether the target's load was published and stated lately: nothing is
+  /// known of the places of one that nobody sends to.
+  bool isLoadKnown(const State &Of, base::TimePoint Now) const {
+    return this->hasFigures(Of, Now) &&
+           Now < Of.LoadAt + this->Settings.FiguresValidFor;
+  }
   bool isListedModel(const TargetQuery &Query) const;
   /// Whether a request for the model has found no target lately.
   bool isShort(const TargetQuery &Query, base::TimePoint Now) const;
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -341,6 +341,8 @@
   bool Full = AllFull != nullptr;
   this->CapacityAt = Full ? AllFull->Until : std::nullopt;
   bool Missing = std::holds_alternative<dispatch::NotHeld>(Choice);
+  if ((Full || Missing) && this->TriedTargets.empty())
+    this->Context.Selector.onNoPlace(this->query(), this->now());
   this->WaitsFor = Full      ? WaitFor::Capacity
                    : Missing ? WaitFor::Item
                              : WaitFor::Target;
@@ -605,8 +607,11 @@
   }
   if (Said.LoadUnreadable) {
     this->Context.Metrics.counter("target_load_unreadable").add();
-    this->log(base::LogLevel::Warn, "target-load-unreadable",
-              {{"target", this->Target->Value}});
+    // Once for each lifetime, as all answers of such a target say so.
+    catalog::Lifetime &Logged = this->Context.UnreadableLoads[*this->Target];
+    if (std::exchange(Logged, this->TargetLifetime) != this->TargetLifetime)
+      this->log(base::LogLevel::Warn, "target-load-unreadable",
+                {{"target", this->Target->Value}});
   }
   if (Said.Wait) {
     this->Context.Selector.onAskedToWait(*this->Target, *Said.Wait,
@@ -645,7 +650,7 @@
     this->Context.Samples.onAnswered(this->SentAs, this->now() - this->SentAt);
 }
 
-void Exchange::recordVainWait() {
+void Exchange::recordUnansweredWait() {
   base::Duration Waited = this->now() - this->SentAt;
   if (Waited >
       std::chrono::duration<double, std::milli>(this->SentAs.ExpectedMillis))
@@ -781,15 +786,20 @@
 
 void Exchange::failAttempt(const char *Why, RetryPayment Payment) {
   this->cancelCall();
-  this->endAttempt(dispatch::AttemptEnd::Broken);
+  // A retry that was paid for goes before those that wait, which could take the
+  // place that was found for it.
+  bool Paid = Payment == RetryPayment::Taken;
+  this->endAttempt(dispatch::AttemptEnd::Broken, !Paid);
   this->afterFailedAttempt(true, Why, Payment);
+  if (Paid)
+    this->Context.ServeQueue();
 }
 
-void Exchange::endAttempt(dispatch::AttemptEnd How) {
+void Exchange::endAttempt(dispatch::AttemptEnd How, bool ServesQueue) {
   base::TimePoint Now = this->now();
   this->Context.Selector.onEnded(*this->Target, How, Now);
   if (How == dispatch::AttemptEnd::Broken)
-    this->recordVainWait();
+    this->recordUnansweredWait();
   // An end that is not stated may be the target's own end.
   bool Proven = How == dispatch::AttemptEnd::Served &&
                 isSuccess(this->Head.Status) &&
@@ -800,7 +810,8 @@
   if (Proven && this->Context.Quarantine.onServed(this->SharedParts, Now))
     this->Context.TellEvidence();
   this->Context.EndRates[this->Service].count(Now);
-  this->Context.ServeQueue();
+  if (ServesQueue)
+    this->Context.ServeQueue();
 }
 
 void Exchange::checkTargetEnd() {
@@ -824,9 +835,9 @@
          this->now() + MinAttemptTime < this->Deadline;
 }
 
-bool Exchange::takeFromRetryBudget() {
+bool Exchange::takeFromRetryBudget(unsigned RunsSoFar) {
   bool Paid = this->Context.Retries.take(this->Service, this->now());
-  if (Paid && this->Runs > 0 && this->Account != nullptr)
+  if (Paid && RunsSoFar > 0 && this->Account != nullptr)
     this->Context.Usage.charge(*this->Account, this->tokenCost(), this->now());
   // A silent attempt asks again and again.
   if (!Paid && !std::exchange(this->RetryRefused, true))
@@ -864,7 +875,7 @@
   }
   bool Again = this->Refusals < MaxRefusals &&
                this->now() + MinAttemptTime < this->Deadline &&
-               this->takeFromRetryBudget();
+               this->takeFromRetryBudget(this->Runs);
   if (Again) {
     this->dispatch();
     return;
@@ -883,7 +894,8 @@
   base::TargetId From = *std::exchange(this->Target, std::nullopt);
   ++this->Runs;
   bool Failed = this->Head.Status >= FirstServerError;
-  if (Failed && this->mayRetry(this->Runs) && this->takeFromRetryBudget()) {
+  if (Failed && this->mayRetry(this->Runs) &&
+      this->takeFromRetryBudget(this->Runs)) {
     this->log(base::LogLevel::Info, "repeats",
               {{"target", From.Value}, {"status", this->Head.Status}});
     this->TriedTargets.insert(From);
@@ -927,7 +939,8 @@
     return;
   }
   if (MayHaveRun && this->mayRetry(this->Runs) &&
-      (Payment == RetryPayment::Taken || this->takeFromRetryBudget())) {
+      (Payment == RetryPayment::Taken ||
+       this->takeFromRetryBudget(this->Runs))) {
     this->dispatch();
     return;
   }
@@ -959,7 +972,8 @@
   auto Objective =
       this->AnswerBegun ? this->Route->PauseObjective : this->Route->Objective;
   double Slowness =
-      this->Target ? this->Context.Selector.slowness(*this->Target) : 1;
+      this->Target ? this->Context.Selector.slowness(*this->Target, this->now())
+                   : 1;
   auto Usual = std::max(Settings.MinSilence,
                         std::chrono::duration_cast<std::chrono::milliseconds>(
                             Objective * Settings.SilenceObjectives));
@@ -1015,7 +1029,7 @@
 /// retry, as giving it up first could leave the caller with a cut answer.
 bool Exchange::mayReplaceAttempt() {
   return this->mayRetry(this->Runs + 1) && this->hasAlternativeTarget() &&
-         this->takeFromRetryBudget();
+         this->takeFromRetryBudget(this->Runs + 1);
 }
 
 // --- The end ---------------------------------------------------------------
@@ -1107,7 +1121,7 @@
   this->log(base::LogLevel::Info, "ended", std::move(Fields));
   if (this->Target) {
     base::TargetId From = *std::exchange(this->Target, std::nullopt);
-    this->recordVainWait();
+    this->recordUnansweredWait();
     this->Context.Selector.onEnded(From, dispatch::AttemptEnd::Cancelled, Now);
     this->Context.ServeQueue();
   }
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -119,12 +119,12 @@
   void beginForwarding();
   const char *endFault();
   void failAttempt(const char *Why, RetryPayment Payment = RetryPayment::Due);
-  void endAttempt(dispatch::AttemptEnd How);
+  void endAttempt(dispatch::AttemptEnd How, bool ServesQueue = true);
   /// Takes the time to the first part of the answer, once for each attempt.
   void recordAnswerTime();
-  /// The same for an attempt that ends without one; it says something about the
-  /// target only if it waited for longer than expected.
-  void recordVainWait();
+  /// Takes how long an attempt waited that ends without an answer, if that is
+  /// longer than expected.
+  void recordUnansweredWait();
 
   void afterRefused();
   void afterHeld();
@@ -134,7 +134,8 @@
   /// Has the end of the target looked for after a connection was closed.
   void checkTargetEnd();
   bool mayRetry(unsigned RunsSoFar) const;
-  bool takeFromRetryBudget();
+  /// Charges the account for a further run, too.
+  bool takeFromRetryBudget(unsigned RunsSoFar);
 
   void armTimer();
   void onTimer();
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -104,6 +104,9 @@
 
   void setTargets(catalog::TargetListPtr New) override {
     this->Context.Targets = New;
+    std::erase_if(this->Context.UnreadableLoads, [&New](const auto &Each) {
+      return New->Targets.count(Each.first) == 0;
+    });
     this->Context.TargetsAt = this->Context.Clock.now();
     this->Context.Selector.setTargets(std::move(New));
     this->serveQueue();
--- a/src/forwarding/internal/trafficcontext.h
+++ b/src/forwarding/internal/trafficcontext.h
@@ -80,6 +80,9 @@
   std::unique_ptr<http::ForwardClient> Client;
   AnswerLimits AnswerSizes;
   TargetEndCheck EndCheck;
+  /// Targets that have stated loads that could not be read, with the lifetime
+  /// in which that was logged.
+  std::map<base::TargetId, catalog::Lifetime> UnreadableLoads;
   std::mt19937_64 Random;
   /// Time of day less monotonic time.
   base::Duration WallOffset;
--- a/src/pacing/internal/targetlearner.cpp
+++ b/src/pacing/internal/targetlearner.cpp
@@ -152,7 +152,9 @@
     New.Load = Each.Load;
     New.LoadAt = Each.LoadAt;
     New.Slots = Each.Slots;
-    New.Slowness = Each.Slowness;
+    // A target that nobody has heard for long is tried again.
+    New.Slowness =
+        Now > Each.LoadAt + this->Settings.ForgetAfter ? 1 : Each.Slowness;
     auto Found = Usual.find(Target->Entry.Service);
     New.Pace = Found == Usual.end() ? 1 : this->pace(Each, Found->second, Now);
     New.Limit = this->limit(Each, Now);
--- a/src/residency/enginetracker.h
+++ b/src/residency/enginetracker.h
@@ -35,6 +35,8 @@
   /// Time from when a model is withdrawn until its unload is ordered: instances
   /// have been told by then, and what they had sent has arrived.
   base::Duration WithdrawTime = std::chrono::milliseconds(150);
+  /// A model whose unload may not be ordered by then counts as held again.
+  base::Duration MaxWithdrawTime = std::chrono::milliseconds(1000);
 };
 
 /// One engine as the planner sees it.
--- a/src/residency/holder.h
+++ b/src/residency/holder.h
@@ -70,6 +70,10 @@
   const EngineTracker &engines() const { return this->Engines; }
 
 private:
+  /// Whether a model that was withdrawn has another copy, or nobody asks for
+  /// it: the other may have been lost since.
+  bool mayUnload(const EngineTracker::DueUnload &What,
+                 base::TimePoint Now) const;
   /// Of one service's engines.
   std::map<base::TargetId, double>
   slownessOf(const std::vector<EngineView> &Views,
--- a/src/residency/internal/enginetracker.cpp
+++ b/src/residency/internal/enginetracker.cpp
@@ -202,12 +202,14 @@
     const std::function<bool(const base::TargetId &)> &Admits) {
   std::vector<DueUnload> Out;
   for (auto &[Id, Each] : this->Engines) {
-    bool Due = Each.Withdrawn &&
-               Now >= Each.Withdrawn->At + this->Settings.WithdrawTime &&
-               (!Admits || Admits(Id));
-    if (!Due)
+    if (!Each.Withdrawn ||
+        Now < Each.Withdrawn->At + this->Settings.WithdrawTime)
+      continue;
+    bool Admitted = !Admits || Admits(Id);
+    if (Admitted)
+      Out.push_back({Id, Each.Withdrawn->Model, Each.Withdrawn->Reason});
+    else if (Now < Each.Withdrawn->At + this->Settings.MaxWithdrawTime)
       continue;
-    Out.push_back({Id, Each.Withdrawn->Model, Each.Withdrawn->Reason});
     Each.Withdrawn.reset();
   }
   return Out;
--- a/src/residency/internal/holder.cpp
+++ b/src/residency/internal/holder.cpp
@@ -56,13 +56,33 @@
     Out.emplace_back(SendOrder{Each, "no-answer"});
   for (const EngineTracker::DueUnload &Each :
        this->Engines.takeDueUnloads(Now, Gate.Admits))
-    if (auto Order = this->Engines.beginOrder(Each.Target, OrderKind::Unload,
-                                              Each.Model, *this->Token, Now))
+    if (auto Order =
+            !this->mayUnload(Each, Now)
+                ? std::nullopt
+                : this->Engines.beginOrder(Each.Target, OrderKind::Unload,
+                                           Each.Model, *this->Token, Now))
       Out.emplace_back(SendOrder{*Order, Each.Reason});
   this->plan(Now, Gate, Out);
   return Out;
 }
 
+bool Holder::mayUnload(const EngineTracker::DueUnload &What,
+                       base::TimePoint Now) const {
+  const catalog::Target *At = this->Engines.target(What.Target);
+  if (At == nullptr)
+    return false;
+  residency::Demand Asked =
+      this->Demand.demandOf(At->Entry.Service, What.Model, Now);
+  if (!Asked.Recent && Asked.Waiting == 0)
+    return true;
+  std::vector<EngineView> Views = this->Engines.views(Now);
+  return std::any_of(Views.begin(), Views.end(), [&](const EngineView &Each) {
+    return Each.Target != What.Target && Each.Usable &&
+           Each.Service == At->Entry.Service &&
+           Each.Models.count(What.Model.Model) != 0;
+  });
+}
+
 std::map<base::TargetId, double>
 Holder::slownessOf(const std::vector<EngineView> &Views,
                    const catalog::ServiceId &Service) const {
--- a/src/residency/internal/planner.cpp
+++ b/src/residency/internal/planner.cpp
@@ -178,7 +178,10 @@
     double Rising = State.Demand.Work > 0
                         ? std::min(1.0, State.Demand.Rise / State.Demand.Work)
                         : 0;
-    return Carried > 0 ? Work / Carried * (1 + Rising) : 0;
+    // No copy is loaded yet: the ones on their way will carry it all.
+    if (Carried <= 0)
+      return State.workPerCopy() / this->capacity() * (1 + Rising);
+    return Work / Carried * (1 + Rising);
   }
 
   /// Adds as many copies of each model as its demand needs, the busiest first,
--- a/src/routing/internal/targetview.cpp
+++ b/src/routing/internal/targetview.cpp
@@ -74,7 +74,8 @@
   this->BackoffUntil = Now + Backoff;
 }
 
-double TargetView::estimatedLoad(base::TimePoint Now) const {
+double TargetView::estimatedLoad(base::TimePoint Now,
+                                 std::chrono::milliseconds ReportDecay) const {
   auto Own = static_cast<double>(this->InFlight);
   if (!this->Last)
     return Own;
@@ -84,7 +85,7 @@
   std::int64_t OwnAtReport = this->InFlight - OwnChange;
   std::int64_t Others = this->Last->Running + this->Last->Waiting - OwnAtReport;
   std::chrono::duration<double> Age = Now - this->Last->MeasuredAt;
-  std::chrono::duration<double> Decay = this->Limits.ReportDecay;
+  std::chrono::duration<double> Decay = ReportDecay;
   double DecayFactor = std::exp(-std::max(Age / Decay, 0.0));
   return Own +
          static_cast<double>(std::max<std::int64_t>(Others, 0)) * DecayFactor;
--- a/src/routing/targetview.h
+++ b/src/routing/targetview.h
@@ -77,11 +77,6 @@
     this->Target = std::move(NewSettings);
   }
 
-  /// Sets the time constant by which the load of others is discounted. It may
-  /// be long where reports are frequent, as requests stay for seconds.
-  void setReportDecay(std::chrono::milliseconds Decay) {
-    this->Limits.ReportDecay = Decay;
-  }
   /// Stores a report; ignores it if it is older than the last.
   void reported(const LoadReport &Report);
   void started(base::TimePoint Now);
@@ -92,7 +87,13 @@
   /// Estimates the number of requests at the target: this gateway's requests in
   /// flight plus the load from others in the last report, discounted by the
   /// report's age.
-  double estimatedLoad(base::TimePoint Now) const;
+  double estimatedLoad(base::TimePoint Now) const {
+    return this->estimatedLoad(Now, this->Limits.ReportDecay);
+  }
+  /// The same with another time constant for the load of others; a long one
+  /// suits frequent reports.
+  double estimatedLoad(base::TimePoint Now,
+                       std::chrono::milliseconds ReportDecay) const;
   Warmth warmth() const;
   /// True while the target is not chosen because of recent failures.
   bool isBackingOff(base::TimePoint Now) const {
