--- a/src/dispatch/tests/targetselectortest.cpp
+++ b/src/dispatch/tests/targetselectortest.cpp
@@ -225,6 +225,66 @@
 
 namespace {
 
+FigureTable oneFigure(const char *Id, std::int64_t Load, base::TimePoint At) {
+  FigureTable Out;
+  Out[{Id}] = {{}, Load, At, 4, 1, 1, 4};
+  return Out;
+}
+
+} // namespace
+
+// Guards against refusing requests for an idle target because the last load
+// that it stated, to another instance, was high: nobody sends, so nobody learns
+// more.
+TEST_F(TargetSelectorTest, ATargetThatNobodySendsToIsNotTakenForBusy) {
+  this->List.Targets.erase({"b"});
+  this->List.Targets.erase({"c"});
+  this->publish();
+  this->Selector.setInstances(60);
+  base::TimePoint Now = Start;
+  this->Selector.setFigures(oneFigure("a", 7, Start), Now);
+  EXPECT_EQ(this->choose(Now), "");
+  for (int Step = 0; Step < 40; ++Step) {
+    Now += milliseconds(250);
+    this->Selector.setFigures(oneFigure("a", 7, Start), Now);
+  }
+  EXPECT_EQ(this->choose(Now), "a");
+}
+
+// Guards against handing out the same free places with each message that
+// carries the same statement, whose age is rebuilt a little differently each
+// time.
+TEST_F(TargetSelectorTest, OneStatementIsOneShareOfFreePlaces) {
+  this->List.Targets.erase({"b"});
+  this->List.Targets.erase({"c"});
+  this->publish();
+  this->Query.Waits = true;
+  this->Selector.setFigures(oneFigure("a", 3, Start), Start);
+  int Sent = 0;
+  for (int Message = 0; Message < 10; ++Message) {
+    base::TimePoint Now = Start + milliseconds(10 * Message);
+    this->Selector.setFigures(oneFigure("a", 3, Start + milliseconds(Message)),
+                              Now);
+    for (; this->choose(Now) == "a"; ++Sent) {
+      this->Selector.onSent(this->Query, {"a"}, Now);
+      this->Selector.onEnded({"a"}, AttemptEnd::Refused, Now);
+    }
+  }
+  EXPECT_LE(Sent, 8);
+}
+
+// A slowness that was stated long ago does not keep a target from being tried.
+TEST_F(TargetSelectorTest, AStatedSlownessLapses) {
+  this->publish();
+  this->Selector.onStatedLoad({"a"}, {0, 0, 4, 8.0}, Start);
+  this->Selector.onStatedLoad({"a"}, {0, 0, 4, 8.0}, Start);
+  EXPECT_GT(this->Selector.slowness({"a"}, Start), 2);
+  EXPECT_EQ(this->Selector.slowness({"a"}, Start + std::chrono::seconds(11)),
+            1);
+}
+
+namespace {
+
 /// 60 instances with a sixtieth of the traffic each, and 20 copies of a model
 /// with 12 slots, of which some work at a third of the speed. All that an
 /// instance knows of the others' requests comes with answers to its own, or
--- a/src/residency/tests/plannertest.cpp
+++ b/src/residency/tests/plannertest.cpp
@@ -58,6 +58,8 @@
     this->Demand.onUse({"i"}, {Use}, this->Now);
   }
 
+  /// Loads go on for as long as this is set.
+  void setLoading(bool New) { this->KeepsLoading = New; }
   void setSlots(unsigned Slots) { this->Kind.BatchSlots = Slots; }
   void setSlowness(std::size_t Engine, double Slowness) {
     this->Slowness[this->Engines[Engine].Target] = Slowness;
@@ -105,10 +107,14 @@
 
 private:
   void refresh(EngineView &View) const {
-    View.AcceptsModelOrder = View.AcceptsAdapterOrder = true;
+    View.AcceptsModelOrder = View.AcceptsAdapterOrder = View.Loading.empty();
     View.Reserved.clear();
     View.ReservedMb = 0;
     View.ReservedAdapters = 0;
+    for (const Item &Each : View.Loading) {
+      View.Reserved.insert(Each);
+      View.ReservedMb += ModelMb;
+    }
     for (const auto &[Id, Held] : View.Models) {
       View.Reserved.insert({Id, {}});
       View.ReservedMb += ModelMb;
@@ -126,6 +132,10 @@
         [&What](const EngineView &Each) { return Each.Target == What.Target; });
     catalog::HeldModels &Models = At->Models;
     bool Load = What.Kind == OrderKind::Load;
+    if (Load && this->KeepsLoading) {
+      At->Loading.insert(What.What);
+      return;
+    }
     if (!What.What.isAdapter()) {
       if (Load)
         Models[What.What.Model];
@@ -144,6 +154,7 @@
   std::vector<EngineView> Engines;
   DemandTracker Demand{DemandTrackerSettings{}};
   std::map<base::TargetId, double> Slowness;
+  bool KeepsLoading = false;
   base::TimePoint Now{std::chrono::hours(1)};
 };
 
@@ -227,6 +238,24 @@
     EXPECT_GE(Simulation.copies({modelName(Model), {}}), 1U) << Model;
 }
 
+// Guards against waiting for the first copy of a model that no engine holds
+// before further ones are ordered: a load takes seconds.
+TEST(PlannerTest, AModelThatNoEngineHoldsGetsManyCopiesAtOnce) {
+  PlannerSimulation Simulation(20, 21);
+  Simulation.setSlots(12);
+  Simulation.setSlowness(0, 1);
+  for (std::size_t Model = 0; Model < 20; ++Model)
+    Simulation.hold(Model, Model);
+  std::size_t Ordered = 0;
+  for (int Step = 0; Step < 4; ++Step) {
+    Simulation.ask({modelName(20), {}}, 8);
+    Simulation.setLoading(true);
+    for (const PlannedOrder &Each : Simulation.step(4))
+      Ordered += Each.What.Model == modelName(20) ? 1 : 0;
+  }
+  EXPECT_EQ(Ordered, PlannerSettings{}.MinConcurrentLoads);
+}
+
 // What fell silent gives way to what is asked for now.
 TEST(PlannerTest, SilentModelsGiveTheirCopiesUp) {
   PlannerSimulation Simulation = fullFleet();
