--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -44,9 +44,11 @@
                      residency::LeaseLogEnd)>
       OnLease;
   std::function<void(const StoreHealth &)> OnHealth;
-  /// The store has come back from an older copy: targets that it does not list
-  /// may still be there.
+  /// The store has come back from an older copy.
   std::function<void()> OnRestored;
+  /// Targets that the store does not list may still be there, as it has come
+  /// back from an older copy lately.
+  std::function<void()> OnIncompleteTargets;
 };
 
 enum class AppendResult {
@@ -113,8 +115,8 @@
   Accepted,
   /// A call with a higher token has been seen.
   Fenced,
-  /// Nothing was done: the platform refused the call, or it was not sent.
-  Refused,
+  /// The platform refused the call, or it was not sent.
+  NotCarriedOut,
   /// The call may have been carried out, or may be later.
   Unknown,
 };
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -79,9 +79,11 @@
       this->onHealth(Health);
     };
     Events.OnRestored = [this] {
-      this->Table.onOutage(this->Clock.now());
       this->Metrics.counter("store_restored").add();
     };
+    Events.OnIncompleteTargets = [this] {
+      this->Table.onOutage(this->Clock.now());
+    };
     this->Store.start(std::move(Events));
     this->TickedAt = this->Clock.now();
     this->tick();
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -313,7 +313,7 @@
   this->Metrics.counter("quarantined_parts")
       .set(static_cast<std::int64_t>(Quarantined.size()));
   if (std::exchange(this->LeftQuarantined, Quarantined) != Quarantined)
-    this->setLeftState();
+    this->setStateForSuccessor();
   this->publishSuspects();
 }
 
@@ -329,7 +329,7 @@
   this->broadcast(Message);
 }
 
-void HolderRole::setLeftState() {
+void HolderRole::setStateForSuccessor() {
   this->Lease.setState(writeHolderState(
       this->LeftQuarantined, this->Reporter.state(), this->Clock.now()));
 }
@@ -369,7 +369,7 @@
         Expected->insert(Id);
   }
   if (this->Reporter.tick(Expected))
-    this->setLeftState();
+    this->setStateForSuccessor();
 }
 
 void HolderRole::logChange(const dispatch::QuarantineChange &Change) const {
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -101,7 +101,7 @@
   void addCreditGrants(const wire::InstanceReport &Report,
                        wire::HolderReply &To);
   /// Sets what the next holder takes over.
-  void setLeftState();
+  void setStateForSuccessor();
   /// Decides how much of the demand for overloaded models is admitted.
   void updateAdmission(base::TimePoint Now);
   void tickDuties(base::TimePoint Now);
--- a/src/control/internal/usagereporter.cpp
+++ b/src/control/internal/usagereporter.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// All reports of use are one subject: holders take turns there as at an
-/// engine.
+/// Names the reports of use in the ledger of orders, as if they were orders to
+/// one engine: the same turns between holders, and the same wait for calls that
+/// may be carried out late, hold for them.
 const base::TargetId &subject() {
   static const base::TargetId Out{"duty/usage"};
   return Out;
@@ -20,8 +21,8 @@
     return "accepted";
   case DutyAnswer::Fenced:
     return "fenced";
-  case DutyAnswer::Refused:
-    return "refused";
+  case DutyAnswer::NotCarriedOut:
+    return "not-carried-out";
   case DutyAnswer::Unknown:
     return "unknown";
   }
--- a/src/dispatch/internal/crashcorrelator.cpp
+++ b/src/dispatch/internal/crashcorrelator.cpp
@@ -210,9 +210,9 @@
                                   return First->At - Separation < Each.At &&
                                          Each.At < Last->At + Separation;
                                 });
-    bool HaveAnotherCause =
+    bool IsMassFailure =
         static_cast<std::size_t>(AtOnce) >= this->Settings.EndsAtOnce;
-    Out += HaveAnotherCause
+    Out += IsMassFailure
                ? 1
                : static_cast<std::size_t>(std::distance(First, Last)) + 1;
     First = std::next(Last);
--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -550,7 +550,7 @@
   To.StatedLoad = Load.Running + Load.Waiting;
   To.Scarce = static_cast<double>(To.StatedLoad) >=
               this->Settings.ScarceShare * static_cast<double>(Load.Slots);
-  // The places of requests that have ended are in the stated load.
+  // The stated load already leaves out the requests that have ended.
   To.FreePlaces = To.OwnPlaces = 0;
   routing::LoadReport Report;
   Report.Sequence = ++To.Reports;
--- a/src/dispatch/targetfigures.h
+++ b/src/dispatch/targetfigures.h
@@ -25,7 +25,7 @@
   /// usual.
   double Slowness = 1;
   /// Measured time to the first answer, relative to the other targets of the
-  /// service and beyond what Slowness explains.
+  /// service and beyond what Slowness explains; above 1 it takes longer.
   double Pace = 1;
   /// The number of requests up to which the target does not slow down much.
   std::int64_t Limit = 0;
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -240,11 +240,13 @@
     double Pace = 1;
     double Limit = 0;
     base::TimePoint FiguresAt;
-    /// Its load as stated last, and whether places were scarce then; how many
-    /// requests this instance may send since while the model is wanted by all:
-    /// for its own that have ended, and for places that were published as free.
+    /// Running and waiting requests as stated last, to any instance.
     std::int64_t StatedLoad = 0;
+    /// Most slots were taken then.
     bool Scarce = false;
+    /// A place is a slot or room in the target's queue. Requests that this
+    /// instance may send since while the model is wanted by all: for its own
+    /// that have ended, and its part of the free places.
     unsigned OwnPlaces = 0;
     unsigned FreePlaces = 0;
     /// Models and adapters that the target was found to lack, each with the
@@ -267,7 +269,8 @@
   using PromptChain = std::vector<PromptPart>;
 
   State *stateOf(const base::TargetId &Id);
-  /// Draws this instance's part of the places that were published as free.
+  /// Works out this instance's part of the free places; a fraction is one place
+  /// with that probability.
   void drawPlaces(State &Of);
   bool mayUsePlace(const State &TargetState, base::TimePoint Now) const;
   static void usePlace(State &TargetState);
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -267,10 +267,10 @@
   if (!this->countsArrivals())
     return false;
   std::uniform_real_distribution<double> Draw(0, 1);
-  overload::Asking Request{{this->Service, this->Facts.Model},
-                           this->urgency(),
-                           this->Account == nullptr ? base::AccountId{}
-                                                    : this->Account->Id};
+  overload::AdmissionRequest Request{
+      {this->Service, this->Facts.Model},
+      this->urgency(),
+      this->Account == nullptr ? base::AccountId{} : this->Account->Id};
   auto RetryAfter = this->Context.Admission.refuses(
       Request, Draw(this->Context.Random), this->now());
   if (!RetryAfter)
--- a/src/overload/admissioncontroller.h
+++ b/src/overload/admissioncontroller.h
@@ -28,7 +28,8 @@
   /// refusals; doubled in each further one, up to the last.
   double FirstRaise = 0.02;
   double LastRaise = 0.16;
-  /// Share that is always admitted, so that recovery is seen.
+  /// Share that is always admitted: without arrivals, nothing would show that
+  /// engines have room again.
   double MinShare = 0.05;
   /// Time constant of the demand by class.
   std::chrono::milliseconds DemandMemory{1000};
--- a/src/overload/admissionfilter.h
+++ b/src/overload/admissionfilter.h
@@ -22,7 +22,7 @@
   std::chrono::milliseconds DemandMemory{2000};
 };
 
-struct Asking {
+struct AdmissionRequest {
   ServiceModel What;
   unsigned Urgency = 0;
   base::AccountId Account;
@@ -37,7 +37,7 @@
   /// Counts a request and decides on it; \p Draw is uniform in [0, 1). Returns
   /// when to come back if it is refused.
   std::optional<std::chrono::milliseconds>
-  refuses(const Asking &Request, double Draw, base::TimePoint Now);
+  refuses(const AdmissionRequest &Request, double Draw, base::TimePoint Now);
   void onSent(const ServiceModel &What);
   void onFull(const ServiceModel &What);
   /// Takes the counts since the last call.
--- a/src/overload/admissionlevel.h
+++ b/src/overload/admissionlevel.h
@@ -31,8 +31,8 @@
 using ArrivalTable = std::map<ServiceModel, Arrivals>;
 
 struct AdmissionLevel {
-  /// Classes below the whole part are admitted, the class at it in part, and no
-  /// others.
+  /// The whole part is a class, the fraction a share of that class: at 3.4 the
+  /// classes 0 to 2 are admitted, 40 in 100 requests of class 3, and no others.
   double Level = Classes;
   /// When the model is expected to have room again.
   std::chrono::milliseconds RetryAfter{0};
--- a/src/overload/internal/admissionfilter.cpp
+++ b/src/overload/internal/admissionfilter.cpp
@@ -56,7 +56,7 @@
 }
 
 std::optional<std::chrono::milliseconds>
-AdmissionFilter::refuses(const Asking &Request, double Draw,
+AdmissionFilter::refuses(const AdmissionRequest &Request, double Draw,
                          base::TimePoint Now) {
   std::size_t Class = std::min<std::size_t>(Request.Urgency, Classes - 1);
   ++this->Counts[Request.What].Asked[Class];
--- a/src/residency/internal/planner.cpp
+++ b/src/residency/internal/planner.cpp
@@ -188,7 +188,7 @@
   /// as far as loads may start and engines have or can free memory.
   void growInProportion() {
     for (ModelState *Each : this->byWork()) {
-      // Engines are relieved of their busiest models.
+      // Copies of a model with little work would not relieve its engines.
       constexpr double LeastShare = 0.2;
       bool Busy = Each->workPerCopy() >
                   LeastShare * this->Settings.GrowAboveShare * this->capacity();
@@ -229,6 +229,7 @@
     Missing = std::min(Missing, Room);
     unsigned Pending = std::min(Missing, this->PendingModelUnloads);
     this->PendingModelUnloads -= Pending;
+    // unloadModelFor() would take those of other models for this one's.
     unsigned KeptPending = std::exchange(this->PendingModelUnloads, 0U);
     for (; Missing > Pending; --Missing)
       if (!this->unloadModelFor(*State.Model, State.workPerCopy(), true,
