Figures of targets are bounded in bytes a second

Cause: figures grow with the instances and with the targets. Change: the holder sends at most 1 MB a second of them. At 63 instances and 95 targets nothing changes.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -46,6 +46,11 @@
   /// How often the figures of targets are worked out and sent: several times
   /// within the duration of a request.
   std::chrono::milliseconds FiguresInterval{100};
+  /// Bytes of figures that the holder sends in a second at most, to all
+  /// instances together: they grow with the instances and with the targets. Far
+  /// beyond it figures come too late to be used, and instances decide by what
+  /// they see themselves.
+  double FigureBytesPerSecond = 1e6;
   /// Interval of demand reports to the holder: short enough to follow a shift
   /// in demand within a second.
   std::chrono::milliseconds ReportInterval{250};
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -254,7 +254,11 @@
     this->Holder.setSlowness(pacing::slownessOf(Table));
     this->logSlowTargets(Table);
   }
-  if (this->Figures.empty() || Of.FiguresAt == this->FiguresAt)
+  std::chrono::duration<double> Least(
+      static_cast<double>(this->Figures.size() * this->Instances.size()) /
+      this->Settings.FigureBytesPerSecond);
+  if (this->Figures.empty() || Of.FiguresAt == this->FiguresAt ||
+      Now < Of.FiguresAt + Least)
     return;
   Of.FiguresAt = this->FiguresAt;
   To.set_figures(this->Figures);
