Counts of use are a list on the wire

Cause: a map field has another layout under the thread sanitizer than in the installed protobuf library, so that SuspectsAndEvidenceAreReadAsTheyWereWritten crashed there (heap-use-after-free, then a SEGV; it passes under the address sanitizer). Change: a list of account and count, like the other messages.

--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -350,8 +350,11 @@
     wire::UsageReport &Report = *Out.add_usage();
     Report.set_window(Each.Window.Value);
     Report.set_accepted(Each.Accepted);
-    for (const auto &[Account, Count] : Each.Counts)
-      (*Report.mutable_counts())[Account.Value] = Count;
+    for (const auto &[Account, Count] : Each.Counts) {
+      wire::UsageCount &Part = *Report.add_counts();
+      Part.set_account(Account.Value);
+      Part.set_count(Count);
+    }
   }
   for (const auto &[Part, Each] : Quarantined)
     writeSuspect(Part, Each, Now, *Out.add_quarantined());
@@ -383,8 +386,8 @@
     duties::UsageReport &New = Out.Reports.emplace_back();
     New.Window.Value = Each.window();
     New.Accepted = Each.accepted();
-    for (const auto &[Account, Count] : Each.counts())
-      New.Counts[{Account}] = Count;
+    for (const wire::UsageCount &Part : Each.counts())
+      New.Counts[{Part.account()}] = Part.count();
   }
   return Out;
 }
