A part that was never answered is quarantined in a storm of ends

Since, eight ends within 250 ms count as one, whatever the part, and the part was quarantined after the window that the rule allows, or not at all.

Change: ends at once count as one only for a part that was answered before, as a part that most requests share is. If its earlier answers are reported late, the quarantine is lifted then.

--- a/src/dispatch/crashcorrelator.h
+++ b/src/dispatch/crashcorrelator.h
@@ -32,10 +32,11 @@
   std::chrono::milliseconds Separation{250};
   /// After so many ends it is quarantined in any case.
   unsigned Ends = 5;
-  /// So many targets that end within Separation of each other have another
-  /// cause in common, such as a rack or a release, and count as one end: the
-  /// requests with one part are too few to end so many at once, while a part
-  /// that most requests share is found at all of them.
+  /// So many targets that end within Separation of each other count as one end
+  /// for a part that was answered before: they have another cause in common,
+  /// such as a rack or a release, and a part that most requests share is found
+  /// at all of them. Where instances send their requests to the same targets
+  /// and repeat them, a part that was never answered can end 14 in 340 ms.
   unsigned EndsAtOnce = 8;
   /// Instances are asked for complete answers with a part this long before it
   /// is quarantined.
@@ -150,7 +151,9 @@
   base::Duration trialDelay(const Suspect &Of) const;
   /// Takes the ends that \p Cause accounts for off the other suspects.
   void explainEnds(PromptPartId Cause);
-  /// Its ends, of which those of many targets at once count as one.
+  void clearIfNotConvicted(PromptPartId Part, Suspect &Of);
+  /// Its ends, of which those of many targets at once count as one where the
+  /// part was answered before.
   std::size_t independentEnds(const Suspect &Of) const;
   /// Whether its ends are enough for a quarantine.
   bool isConvicted(const Suspect &Of) const;
--- a/src/dispatch/internal/crashcorrelator.cpp
+++ b/src/dispatch/internal/crashcorrelator.cpp
@@ -155,6 +155,9 @@
   Last = std::max(Last, Served.At);
   if (Served.At <= Of.State.Since) {
     Of.ServedBefore = true;
+    // Of a quarantine that was taken over the ends are not known.
+    if (!Of.Ends.empty())
+      this->clearIfNotConvicted(Served.Part, Of);
     return;
   }
   // Not the cause of an end in whose requests it was accompanied by others.
@@ -165,17 +168,20 @@
                 [&Served](const End &Each) { return Each.At < Served.At; });
   Of.ServedBefore = true;
   Of.State.Ends = static_cast<unsigned>(Of.Ends.size());
-  if (Of.State.Quarantined && !this->isConvicted(Of)) {
-    Of.State.Quarantined = false;
-    this->Changes.push_back(
-        change(QuarantineChangeKind::Cleared, Served.Part, Of));
-  }
+  this->clearIfNotConvicted(Served.Part, Of);
   if (Of.Ends.empty())
     this->Suspects.erase(Found);
   else
     Of.State.Since = Of.Ends.front().At;
 }
 
+void CrashCorrelator::clearIfNotConvicted(PromptPartId Part, Suspect &Of) {
+  if (!Of.State.Quarantined || this->isConvicted(Of))
+    return;
+  Of.State.Quarantined = false;
+  this->Changes.push_back(change(QuarantineChangeKind::Cleared, Part, Of));
+}
+
 void CrashCorrelator::onRefused(PromptPartId Part, const base::InstanceId &By,
                                 base::TimePoint Now) {
   auto Found = this->Suspects.find(Part);
@@ -210,8 +216,8 @@
                                   return First->At - Separation < Each.At &&
                                          Each.At < Last->At + Separation;
                                 });
-    bool IsMassFailure =
-        static_cast<std::size_t>(AtOnce) >= this->Settings.EndsAtOnce;
+    bool IsMassFailure = Of.ServedBefore && static_cast<std::size_t>(AtOnce) >=
+                                                this->Settings.EndsAtOnce;
     Out += IsMassFailure
                ? 1
                : static_cast<std::size_t>(std::distance(First, Last)) + 1;
--- a/src/dispatch/tests/quarantinetest.cpp
+++ b/src/dispatch/tests/quarantinetest.cpp
@@ -410,6 +410,9 @@
   for (int Each = 0; Each < 28; ++Each)
     Holder.onTargetEnd(endOf("t" + std::to_string(Each), Each * 10,
                              {{{7}, {100UL + Each}}, {{7}, {200UL + Each}}}));
+  EXPECT_TRUE(Holder.decide(at(280)).empty());
+  // Instances are asked for the answers that they have given before.
+  Holder.onServed({{7}, at(-100)});
   EXPECT_TRUE(decideAt(Holder, 400).empty());
   // A part that ends targets one after the other is still found.
   for (int Each = 0; Each < 5; ++Each)
@@ -420,6 +423,35 @@
   EXPECT_FALSE(isQuarantined(Holder, 7));
 }
 
+// Guards against taking a storm for another cause: all instances sent their
+// requests to the same targets and repeated them, and a part that was never
+// answered ended 14 targets in 340 ms.
+TEST(CrashCorrelatorTest, APartThatIsNeverAnsweredIsQuarantinedInAStorm) {
+  CrashCorrelator Holder;
+  for (int Each = 0; Each < 14; ++Each) {
+    Holder.onTargetEnd(endOf("t" + std::to_string(Each), Each * 25,
+                             {{{1}, {2}}, {{1}, {2}, {7}}}));
+    Holder.decide(at(Each * 25));
+    if (Each == 2)
+      for (PromptPartId Sound : {PromptPartId{1}, PromptPartId{2}})
+        Holder.onServed({Sound, at(-100)});
+  }
+  EXPECT_TRUE(isQuarantined(Holder, 7));
+  EXPECT_FALSE(isQuarantined(Holder, 1));
+  EXPECT_FALSE(isQuarantined(Holder, 2));
+}
+
+// Failure: the earlier answers of a shared part are reported late.
+TEST(CrashCorrelatorTest, AnEarlierAnswerLiftsTheQuarantineOfManyEndsAtOnce) {
+  CrashCorrelator Holder;
+  for (int Each = 0; Each < 28; ++Each)
+    Holder.onTargetEnd(endOf("t" + std::to_string(Each), Each * 10, {{{7}}}));
+  decideAt(Holder, 280);
+  EXPECT_TRUE(isQuarantined(Holder, 7));
+  Holder.onServed({{7}, at(-100)});
+  EXPECT_FALSE(isQuarantined(Holder, 7));
+}
+
 TEST(CrashCorrelatorTest, APartOfAFewAmongManyEndsIsQuarantinedLater) {
   CrashCorrelator Holder;
   for (int Each = 0; Each < 5; ++Each) {
