--- a/apps/instance/main.cpp
+++ b/apps/instance/main.cpp
@@ -11,6 +11,7 @@
 #include <asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
+#include <pthread.h>
 #include <string>
 
 namespace {
@@ -19,6 +20,28 @@
 
 constexpr const char *ProgramName = "kingcuphub-instance";
 
+/// Blocks the signals that the instance acts on. Their default action would end
+/// a process that gets one before its handlers are set. Threads that are
+/// started meanwhile leave them to the main thread.
+class BlockedSignals {
+public:
+  BlockedSignals() {
+    sigset_t Set;
+    sigemptyset(&Set);
+    for (int Number : {SIGTERM, SIGINT, SIGHUP})
+      sigaddset(&Set, Number);
+    pthread_sigmask(SIG_BLOCK, &Set, &this->Before);
+  }
+  BlockedSignals(const BlockedSignals &) = delete;
+  BlockedSignals &operator=(const BlockedSignals &) = delete;
+  ~BlockedSignals() { this->release(); }
+
+  void release() { pthread_sigmask(SIG_SETMASK, &this->Before, nullptr); }
+
+private:
+  sigset_t Before{};
+};
+
 /// Acts on signals until the instance has stopped.
 class Signals {
 public:
@@ -61,7 +84,8 @@
   asio::signal_set Raw;
 };
 
-int serve(const instance::Settings &Options, const std::string &FileName) {
+int serve(const instance::Settings &Options, const std::string &FileName,
+          BlockedSignals &Blocked) {
   base::startLog(ProgramName, Options.Name.Value, Options.Level,
                  base::LogOutput::StandardOutput);
   base::BootClock Clock;
@@ -80,6 +104,7 @@
                   {"callers", Options.Callers.text()},
                   {"store", Options.Store.text()}});
   Signals Watched(Loop, **Started, FileName);
+  Blocked.release();
   Loop.run();
   Started->reset();
   base::finishLog();
@@ -89,6 +114,7 @@
 } // namespace
 
 int main(int Count, char **Words) {
+  BlockedSignals Blocked;
   std::signal(SIGPIPE, SIG_IGN);
   // The platform tells the settings file in the environment only.
   std::string FileName;
@@ -110,5 +136,5 @@
       [&Options](base::SettingsReader &Reader) {
         Options = instance::parseSettings(Reader);
       });
-  return Ended ? *Ended : serve(Options, FileName);
+  return Ended ? *Ended : serve(Options, FileName, Blocked);
 }
