The lease holder orders the number of targets by demand

Cause: the platform asks for POST /scale where a deployment's settings name scaling among the duties; nobody called it, and targets stayed as many as they were at the start.

Change: duties/targetscaler works out the count of each zone from the demand and the speed of engines that the holder knows; control/scalingduty sends it under the lease and leaves it to the next holder in the lease's record. What reports of use and orders have in common moved to control/dutycalls.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -89,6 +89,15 @@
   std::map<base::ModelId, Model> Models;
 };
 
+/// How many targets of a service the platform runs when it is asked to.
+struct Scaling {
+  /// In each availability zone.
+  unsigned Min = 0;
+  unsigned Max = 0;
+  /// Time from an order until a new target serves.
+  std::chrono::milliseconds BootTime{0};
+};
+
 struct Service {
   ServiceId Id;
   std::string HealthPath;
@@ -99,6 +108,8 @@
   std::chrono::milliseconds ColdStart{0};
   double ColdRequestsPerSecond = 0;
   std::optional<catalog::Engine> Engine;
+  /// Set if the number of its targets may be ordered.
+  std::optional<catalog::Scaling> Scaling;
 };
 
 struct Account {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -40,6 +40,10 @@
   overload::AdmissionControllerSettings Admission;
   /// Set if the use of each window is reported to the platform.
   std::optional<duties::UsageLedgerSettings> UsageReports;
+  /// Set if the platform is told how many targets services run, and how often
+  /// that is worked out.
+  std::optional<duties::TargetScalerSettings> Scaling;
+  std::chrono::milliseconds ScalingInterval{500};
   /// An instance that was silent for this long is not expected to report the
   /// requests of a window.
   std::chrono::milliseconds SilentForWindows{3000};
--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -7,6 +7,7 @@
 
 #include "base/error.h"
 #include "catalog/target.h"
+#include "duties/targetscaler.h"
 #include "duties/usageledger.h"
 #include "residency/holderlease.h"
 
@@ -132,6 +133,12 @@
                            const base::InstanceId &Holder,
                            std::function<bool()> MayStillSend,
                            std::function<void(DutyAnswer)> Done) = 0;
+  /// Orders how many targets a service runs in an availability zone.
+  virtual void orderTargets(const duties::ScalingOrder &Order,
+                            residency::FencingToken Token,
+                            const base::InstanceId &Holder,
+                            std::function<bool()> MayStillSend,
+                            std::function<void(DutyAnswer)> Done) = 0;
 };
 
 } // namespace kingcuphub::control
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -17,7 +17,8 @@
     : Settings(Settings), Engines(Engines), Lease(Lease), Clock(Clock),
       Metrics(Metrics), Holder(Settings.Holder), Usage(Settings.Usage),
       Admission(Settings.Admission), Learner(Settings.Learner),
-      Reporter(Settings, Duties, Lease, Clock, Metrics), PlanTimer(Loop),
+      Reporter(Settings, Duties, Lease, Clock, Metrics),
+      Scaling(Settings, Duties, Lease, Clock, Metrics), PlanTimer(Loop),
       PublishTimer(Loop) {}
 
 base::Result<void> HolderRole::listen(messaging::Messaging &Messages) {
@@ -61,6 +62,7 @@
   this->Holder.setLease(Held, Now);
   if (!Held) {
     this->Reporter.stop();
+    this->Scaling.stop();
     return this->Engines.abandonOrders();
   }
   this->Metrics.counter("lease_gained").add();
@@ -84,6 +86,7 @@
       this->Lease.record() ? this->Lease.record()->State : std::string();
   this->Crashes.restore(readHolderState(State, Now), Now);
   this->Reporter.start(*Held, State);
+  this->Scaling.start(*Held, State);
   this->Lease.setState(std::move(State));
   this->LeftQuarantined.clear();
   this->updateSuspects();
@@ -334,8 +337,9 @@
 }
 
 void HolderRole::setStateForSuccessor() {
-  this->Lease.setState(writeHolderState(
-      this->LeftQuarantined, this->Reporter.state(), this->Clock.now()));
+  this->Lease.setState(
+      writeHolderState(this->LeftQuarantined, this->Reporter.state(),
+                       this->Scaling.state(), this->Clock.now()));
 }
 
 void HolderRole::updateAdmission(base::TimePoint Now) {
@@ -359,13 +363,19 @@
 }
 
 void HolderRole::tickDuties(base::TimePoint Now) {
-  if (!this->Reporter.enabled())
-    return;
   // A new holder waits until most of those that the one before knew have
-  // reported; without them their counts would be missing for good.
-  std::optional<std::set<base::InstanceId>> Expected;
+  // reported; without them their counts would be missing for good, and demand
+  // would seem lower than it is.
   bool Settled = Now >= this->HeldSince + this->Settings.SilentForWindows ||
                  this->Instances.size() >= this->InheritedInstances;
+  bool Ordered =
+      Settled && this->Catalog && this->Targets &&
+      this->Scaling.tick(*this->Catalog, *this->Targets, this->Holder);
+  if (Ordered)
+    this->setStateForSuccessor();
+  if (!this->Reporter.enabled())
+    return;
+  std::optional<std::set<base::InstanceId>> Expected;
   if (Settled && !this->Instances.empty()) {
     Expected.emplace();
     for (const auto &[Id, Each] : this->Instances)
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -11,6 +11,7 @@
 #include "linkmessages.h"
 #include "pacing/targetlearner.h"
 #include "residency/capacity.h"
+#include "scalingduty.h"
 #include "usagereporter.h"
 
 #include <asio/steady_timer.hpp>
@@ -174,6 +175,7 @@
   /// As in the state that was last set for the next holder.
   dispatch::SuspectParts LeftQuarantined;
   UsageReporter Reporter;
+  ScalingDuty Scaling;
   std::optional<base::TimePoint> TargetsReadAt;
   base::TimePoint CatalogProvenAt;
   asio::steady_timer PlanTimer;
--- a/src/control/internal/linkmessages.cpp
+++ b/src/control/internal/linkmessages.cpp
@@ -343,8 +343,15 @@
 
 std::string writeHolderState(const dispatch::SuspectParts &Quarantined,
                              const duties::UsageState &Usage,
+                             const duties::OrderedCounts &Ordered,
                              base::TimePoint Now) {
   wire::HolderState Out;
+  for (const auto &[Subject, Count] : Ordered) {
+    wire::OrderedTargets &Targets = *Out.add_ordered();
+    Targets.set_service(Subject.first.Value);
+    Targets.set_zone(Subject.second.Value);
+    Targets.set_count(Count);
+  }
   Out.set_settled_through(Usage.SettledThrough.Value);
   for (const duties::UsageReport &Each : Usage.Reports) {
     wire::UsageReport &Report = *Out.add_usage();
@@ -392,6 +399,16 @@
   return Out;
 }
 
+duties::OrderedCounts readOrderedCounts(const std::string &Bytes) {
+  wire::HolderState From;
+  duties::OrderedCounts Out;
+  // An unreadable state is logged by readHolderState().
+  if (From.ParseFromString(Bytes))
+    for (const wire::OrderedTargets &Each : From.ordered())
+      Out[{{Each.service()}, {Each.zone()}}] = Each.count();
+  return Out;
+}
+
 void writeLoading(const LoadingModels &Loading, base::TimePoint Now,
                   wire::HolderReply &To) {
   To.set_loading_included(true);
--- a/src/control/internal/linkmessages.h
+++ b/src/control/internal/linkmessages.h
@@ -6,6 +6,7 @@
 /// types.
 
 #include "delta.h"
+#include "duties/targetscaler.h"
 #include "duties/usageledger.h"
 #include "forwarding/forwarder.h"
 
@@ -70,6 +71,7 @@
 /// The state that a holder leaves to the next one in the record of the lease.
 std::string writeHolderState(const dispatch::SuspectParts &Quarantined,
                              const duties::UsageState &Usage,
+                             const duties::OrderedCounts &Ordered,
                              base::TimePoint Now);
 /// Logs a state that can't be read, and returns nothing of it.
 dispatch::SuspectParts readHolderState(const std::string &Bytes,
@@ -78,6 +80,9 @@
 /// The reports of use in that state; nothing if it can't be read.
 std::optional<duties::UsageState> readUsageState(const std::string &Bytes);
 
+/// The numbers of targets in that state; none if it can't be read.
+duties::OrderedCounts readOrderedCounts(const std::string &Bytes);
+
 using LoadingModels = std::map<dispatch::ServiceModel, base::TimePoint>;
 
 void writeLoading(const LoadingModels &Loading, base::TimePoint Now,
--- a/src/control/internal/usagereporter.cpp
+++ b/src/control/internal/usagereporter.cpp
@@ -7,26 +7,8 @@
 
 namespace {
 
-/// Names the reports of use in the ledger of orders, as if they were orders to
-/// one engine: the same turns between holders, and the same wait for calls that
-/// may be carried out late, hold for them.
-const base::TargetId &subject() {
-  static const base::TargetId Out{"duty/usage"};
-  return Out;
-}
-
-std::string_view answerName(DutyAnswer Answer) {
-  switch (Answer) {
-  case DutyAnswer::Accepted:
-    return "accepted";
-  case DutyAnswer::Fenced:
-    return "fenced";
-  case DutyAnswer::NotCarriedOut:
-    return "not-carried-out";
-  case DutyAnswer::Unknown:
-    return "unknown";
-  }
-  return "unknown";
+DutyCall callUnder(residency::FencingToken Token) {
+  return {"usage", {"duty/usage"}, Token};
 }
 
 } // namespace
@@ -36,7 +18,7 @@
                              const base::Clock &Clock,
                              metrics::Registry &Metrics)
     : Settings(Settings), Client(Client), Lease(Lease), Clock(Clock),
-      Metrics(Metrics),
+      Calls(Lease, Clock, Metrics),
       Ledger(Settings.UsageReports.value_or(duties::UsageLedgerSettings{})) {}
 
 void UsageReporter::start(residency::FencingToken NewToken,
@@ -96,54 +78,40 @@
     if (auto Stored = readUsageState(this->StoredState))
       this->Ledger.onStored(Stored->Reports);
   }
-  if (this->Lease.orderToken(subject(), Now) == this->Token)
+  if (this->Calls.maySend(callUnder(*this->Token)))
     if (auto Due = this->Ledger.takeDue(*Wall))
       this->send(*Due);
   return std::exchange(this->Changed, false) || HasChanged;
 }
 
 void UsageReporter::send(const duties::UsageReport &Report) {
-  base::TimePoint Now = this->Clock.now();
-  residency::FencingToken SentUnder = *this->Token;
+  DutyCall Call = callUnder(*this->Token);
   base::logEvent(base::LogLevel::Info, "duty-sent",
-                 {{"duty", "usage"},
+                 {{"duty", Call.Duty},
                   {"window", Report.Window.Value},
                   {"accounts", Report.Counts.size()},
-                  {"token", SentUnder.Value}});
-  this->Lease.onOrderSent(subject(), {}, Now);
+                  {"token", Call.Token.Value}});
+  this->Calls.onSent(Call);
   this->Client->reportUsage(
-      Report, SentUnder, this->Settings.Self,
-      [this, Live = this->Alive, SentUnder] {
-        return *Live && this->Lease.orderToken(subject(), this->Clock.now()) ==
-                            SentUnder;
+      Report, Call.Token, this->Settings.Self,
+      [this, Live = this->Alive, Call] {
+        return *Live && this->Calls.maySend(Call);
       },
-      [this, Live = this->Alive, Report, SentUnder](DutyAnswer Answer) {
+      [this, Live = this->Alive, Report, Call](DutyAnswer Answer) {
         if (*Live)
-          this->onAnswer(Report, SentUnder, Answer);
+          this->onAnswer(Report, Call, Answer);
       });
 }
 
 void UsageReporter::onAnswer(const duties::UsageReport &Report,
-                             residency::FencingToken SentUnder,
-                             DutyAnswer Answer) {
-  base::TimePoint Now = this->Clock.now();
+                             const DutyCall &Call, DutyAnswer Answer) {
   base::logEvent(base::LogLevel::Info, "duty-answered",
-                 {{"duty", "usage"},
+                 {{"duty", Call.Duty},
                   {"window", Report.Window.Value},
-                  {"token", SentUnder.Value},
-                  {"answer", answerName(Answer)}});
-  this->Metrics
-      .counter("duties",
-               {{"duty", "usage"}, {"answer", std::string(answerName(Answer))}})
-      .add();
-  this->Lease.onOrderEnded(subject());
-  if (Answer == DutyAnswer::Unknown)
-    this->Lease.onOrderCut(subject(), Now);
-  else
-    this->Lease.onOrderSettled(subject(), Now);
-  if (Answer == DutyAnswer::Fenced && SentUnder == this->Token)
-    this->Lease.onFenced();
-  if (SentUnder != this->StartedUnder)
+                  {"token", Call.Token.Value},
+                  {"answer", dutyAnswerName(Answer)}});
+  this->Calls.onAnswer(Call, Answer, this->Token);
+  if (Call.Token != this->StartedUnder)
     return;
   this->Ledger.onSent(Report.Window, Answer == DutyAnswer::Accepted);
   this->Changed = this->Changed || Answer == DutyAnswer::Accepted;
--- a/src/control/internal/usagereporter.h
+++ b/src/control/internal/usagereporter.h
@@ -8,6 +8,7 @@
 #include "control/control.h"
 #include "duties/fleetclock.h"
 #include "duties/usageledger.h"
+#include "dutycalls.h"
 
 #include <fleet.pb.h>
 #include <set>
@@ -42,14 +43,14 @@
 
 private:
   void send(const duties::UsageReport &Report);
-  void onAnswer(const duties::UsageReport &Report,
-                residency::FencingToken SentUnder, DutyAnswer Answer);
+  void onAnswer(const duties::UsageReport &Report, const DutyCall &Call,
+                DutyAnswer Answer);
 
   const ControlSettings &Settings;
   DutyClient *Client;
   residency::HolderLease &Lease;
   const base::Clock &Clock;
-  metrics::Registry &Metrics;
+  DutyCalls Calls;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   duties::FleetClock FleetTime;
   duties::UsageLedger Ledger;
--- a/src/control/tests/linkmessagestest.cpp
+++ b/src/control/tests/linkmessagestest.cpp
@@ -102,14 +102,19 @@
   ASSERT_TRUE(Received.apply(readSuspects(Change, Start)));
   EXPECT_EQ(Received.values().size(), 1U);
 
-  std::string State = writeHolderState({{{7}, Suspect}}, {}, Start);
+  std::string State = writeHolderState({{{7}, Suspect}}, {}, {}, Start);
   EXPECT_EQ(readHolderState(State, Start).at({7}), Suspect);
   EXPECT_TRUE(readHolderState("\xff\xff", Start).empty());
   duties::UsageState Usage = {
       {{{5}, {{{"a"}, 3}}, true}, {{6}, {{{"a"}, 0}}, false}}, {6}};
-  EXPECT_EQ(readUsageState(writeHolderState({{{7}, Suspect}}, Usage, Start)),
-            Usage);
+  EXPECT_EQ(
+      readUsageState(writeHolderState({{{7}, Suspect}}, Usage, {}, Start)),
+      Usage);
   EXPECT_FALSE(readUsageState("\xff\xff"));
+  duties::OrderedCounts Ordered = {{{{"llm"}, {"zone-a"}}, 7}};
+  EXPECT_EQ(readOrderedCounts(writeHolderState({}, {}, Ordered, Start)),
+            Ordered);
+  EXPECT_TRUE(readOrderedCounts("\xff\xff").empty());
 
   dispatch::CrashEvidence Evidence;
   Evidence.Ends = {{{"t"}, {5}, Start, {{{1}, {2}}, {{3}}}}};
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -99,6 +99,8 @@
       Out.UsageReports->WindowLength = Owed->UsageWindow;
       Out.UsageReports->SettleAtLatest = Owed->UsageDueAfter / 2;
     }
+    if (const auto &Owed = this->Options.Duties; Owed && Owed->OrdersTargets)
+      Out.Scaling.emplace();
     return Out;
   }
 
--- a/src/instance/internal/settings.cpp
+++ b/src/instance/internal/settings.cpp
@@ -34,9 +34,12 @@
 
 void readDuties(base::SettingsReader &Reader, DutySettings &To) {
   constexpr const char *Usage = "usage";
+  constexpr const char *Scaling = "scaling";
   To.Address = requiredEndpoint(Reader, "address");
   std::vector<std::string> Calls = Reader.texts("calls");
   To.ReportsUsage = std::find(Calls.begin(), Calls.end(), Usage) != Calls.end();
+  To.OrdersTargets =
+      std::find(Calls.begin(), Calls.end(), Scaling) != Calls.end();
   To.UsageWindow = Reader.millis("usage_window_ms", To.UsageWindow,
                                  ShortestWindow, LongestWindow);
   To.UsageDueAfter = Reader.millis("usage_due_after_ms", To.UsageDueAfter,
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -37,6 +37,8 @@
   base::Endpoint Address;
   /// Whether the use of each window is reported.
   bool ReportsUsage = false;
+  /// Whether the number of targets is ordered.
+  bool OrdersTargets = false;
   std::chrono::milliseconds UsageWindow{5000};
   /// How long after its end a window's report is due.
   std::chrono::milliseconds UsageDueAfter{10000};
--- a/src/instance/tests/settingstest.cpp
+++ b/src/instance/tests/settingstest.cpp
@@ -64,3 +64,14 @@
   residency::HolderLeaseSettings Lease = read(From).Settings.lease();
   EXPECT_EQ(Lease.OrderTurn.count(), 5000);
 }
+
+// Guards against calls that the deployment has not asked for.
+TEST(InstanceSettingsTest, OnlyTheDutiesThatAreNamedAreSwitchedOn) {
+  nlohmann::json From = exampleSettings();
+  From["duties"] = {{"address", "127.0.0.1:9001"}, {"calls", {"scaling"}}};
+  Read Got = read(From);
+  EXPECT_TRUE(Got.Problems.empty());
+  ASSERT_TRUE(Got.Settings.Duties);
+  EXPECT_TRUE(Got.Settings.Duties->OrdersTargets);
+  EXPECT_FALSE(Got.Settings.Duties->ReportsUsage);
+}
--- a/src/residency/holder.h
+++ b/src/residency/holder.h
@@ -41,6 +41,19 @@
   EngineTracker::Admission Admits;
 };
 
+/// What a service with engines is asked for, and what its engines carry.
+struct ServiceLoad {
+  /// Requested engine time of all models, in seconds per second, and its rise
+  /// over the last seconds.
+  double Work = 0;
+  double Rise = 0;
+  /// Engine time per second that one engine of the service's mean speed
+  /// carries.
+  double CarriedPerEngine = 0;
+  /// Engines that have memory for every model once.
+  unsigned EnginesForModels = 0;
+};
+
 class Holder {
 public:
   explicit Holder(HolderSettings Settings)
@@ -68,6 +81,9 @@
                                   const OrderGate &Gate = {});
 
   const EngineTracker &engines() const { return this->Engines; }
+  /// Nothing if the service has no engines.
+  ServiceLoad serviceLoad(const catalog::ServiceId &Id,
+                          base::TimePoint Now) const;
 
 private:
   /// Whether a model that was withdrawn has another copy, or nobody asks for
--- a/src/residency/internal/holder.cpp
+++ b/src/residency/internal/holder.cpp
@@ -1,6 +1,7 @@
 #include "residency/holder.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace kingcuphub::residency {
 
@@ -42,6 +43,38 @@
   this->Engines.onAnswer(Sent, Answer, Now);
 }
 
+ServiceLoad Holder::serviceLoad(const catalog::ServiceId &Id,
+                                base::TimePoint Now) const {
+  ServiceLoad Out;
+  const catalog::Service *Service =
+      this->Catalog ? this->Catalog->service(Id) : nullptr;
+  if (Service == nullptr || !Service->Engine)
+    return Out;
+  const catalog::Engine &Kind = *Service->Engine;
+  double LargestMb = 0;
+  for (const auto &[Model, Each] : Kind.Models) {
+    residency::Demand Asked = this->Demand.demandOf(Id, {Model, {}}, Now);
+    Out.Work += Asked.Work;
+    Out.Rise += Asked.Rise;
+    LargestMb = std::max(LargestMb, Each.WeightsMb);
+  }
+  double Speed = 0;
+  unsigned Known = 0;
+  for (const EngineView &Each : this->Engines.views(Now))
+    if (auto Found = this->Slowness.find(Each.Target);
+        Each.Service == Id && Found != this->Slowness.end()) {
+      Speed += 1 / Found->second;
+      ++Known;
+    }
+  Out.CarriedPerEngine = workPerEngine(Kind, this->Settings.Planner) *
+                         (Known == 0 ? 1 : Speed / Known);
+  double PerEngine = LargestMb > 0 ? std::floor(Kind.WeightsMb / LargestMb) : 0;
+  if (PerEngine > 0)
+    Out.EnginesForModels = static_cast<unsigned>(
+        std::ceil(static_cast<double>(Kind.Models.size()) / PerEngine));
+  return Out;
+}
+
 std::vector<HolderCommand> Holder::tick(base::TimePoint Now,
                                         const OrderGate &Gate) {
   std::vector<HolderCommand> Out;
--- a/src/residency/internal/planner.cpp
+++ b/src/residency/internal/planner.cpp
@@ -154,8 +154,7 @@
 
   /// Work per second that an engine of usual speed carries.
   double capacity() const {
-    return this->Settings.WorkPerSlot *
-           std::max(1U, this->Input.Kind.BatchSlots);
+    return workPerEngine(this->Input.Kind, this->Settings);
   }
 
   /// The work of an engine, with \p Added to it, relative to what it carries.
@@ -490,6 +489,11 @@
       static_cast<unsigned>(std::ceil(Mean * Kind.StoreLoadsPerSecond)));
 }
 
+double workPerEngine(const catalog::Engine &Kind,
+                     const PlannerSettings &Settings) {
+  return Settings.WorkPerSlot * std::max(1U, Kind.BatchSlots);
+}
+
 std::vector<PlannedOrder> planOrders(const PlanInput &Input,
                                      const PlannerSettings &Settings) {
   return PlanningRound(Input, Settings).run();
--- a/src/residency/planner.h
+++ b/src/residency/planner.h
@@ -79,6 +79,10 @@
 unsigned maxConcurrentLoads(const catalog::Engine &Kind,
                             const PlannerSettings &Settings);
 
+/// Engine time per second that an engine of usual speed carries.
+double workPerEngine(const catalog::Engine &Kind,
+                     const PlannerSettings &Settings);
+
 /// Plans at most one order per engine.
 std::vector<PlannedOrder> planOrders(const PlanInput &Input,
                                      const PlannerSettings &Settings);
