A configuration can be checked before it is sent

Cause: operators learn of an error in a manifest only when the store refuses it, and of an entry that never matches, or of limits that contradict each other, not at all.

Change: kingcuphub check FILE [--in-force FILE].

--- a/apps/cli/main.cpp
+++ b/apps/cli/main.cpp
@@ -2,6 +2,7 @@
 /// kingcuphub: the operators' command line client.
 
 #include "cli/cli.h"
+#include "manifestcheck.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -10,7 +11,8 @@
 int main(int Count, char **Args) {
   std::signal(SIGPIPE, SIG_IGN);
   kingcuphub::base::SystemClock Clock;
-  kingcuphub::cli::CliEnvironment Environment{Clock, std::cout, std::cerr, {}};
+  kingcuphub::cli::CliEnvironment Environment{
+      Clock, std::cout, std::cerr, {}, kingcuphub::platform::checkManifest};
   for (const char *Name : {"KINGCUPHUB_AGENT", "KINGCUPHUB_TOKEN"})
     if (const char *Value = std::getenv(Name))
       Environment.Variables[Name] = Value;
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "cli/apiclient.h"
 #include "cli/change.h"
+#include "cli/cli.h"
 #include "cli/exitcode.h"
 
 #include <chrono>
@@ -29,6 +30,7 @@
   /// Output for scripts.
   bool Json = false;
   std::chrono::milliseconds Wait{0};
+  const ConfigurationReader &ReadConfiguration;
 
   /// The value of a positional argument or an option.
   std::string text(const std::string &Name) const;
@@ -66,6 +68,7 @@
 std::vector<Command> modelCommands();
 std::vector<Command> routeCommands();
 std::vector<Command> viewCommands();
+std::vector<Command> checkCommands();
 std::vector<Command> secretCommands();
 
 /// Reports an error of the API; its exit code.
--- a/src/cli/internal/cli.cpp
+++ b/src/cli/internal/cli.cpp
@@ -164,7 +164,8 @@
                          Environment.Out,
                          Environment.Err,
                          Asked.count("json") != 0,
-                         std::chrono::seconds(WaitSeconds)};
+                         std::chrono::seconds(WaitSeconds),
+                         Environment.ReadConfiguration};
   return static_cast<int>(Each.Run(Context));
 }
 
--- a/src/cli/internal/command.cpp
+++ b/src/cli/internal/command.cpp
@@ -33,9 +33,9 @@
 const std::vector<Command> &allCommands() {
   static const std::vector<Command> All = [] {
     std::vector<Command> Out;
-    for (auto Group :
-         {viewCommands, policyCommands, accountCommands, keyCommands,
-          targetCommands, modelCommands, routeCommands, secretCommands})
+    for (auto Group : {viewCommands, policyCommands, accountCommands,
+                       keyCommands, targetCommands, modelCommands,
+                       routeCommands, secretCommands, checkCommands})
       for (Command &Each : Group())
         Out.push_back(std::move(Each));
     return Out;
