Targets that fail for others are avoided, and copies of unknown load not flooded

On taxdesk, 7,481 of 8,106 refusals came from targets with 31 and more requests, of which half the instances had expected under 3.

Change: instances report how their attempts ended, and the holder publishes the share that fails at each target. Targets of a plain service are drawn by cost with the mean of their loads. An engine of unknown load counts as idle once in 500 ms while its model is contended, and its places are shared. Another zone costs 5 ms where figures are published.

--- a/src/control/internal/figuremessages.cpp
+++ b/src/control/internal/figuremessages.cpp
@@ -44,6 +44,8 @@
     }
     Out.set_answered(Each.Answered);
     Out.set_refused(Each.Refused);
+    Out.set_served(Each.Served);
+    Out.set_failed(Each.Failed);
     for (std::size_t Quarter = 0; Quarter < pacing::Quarters; ++Quarter) {
       const pacing::AnswerTimes &Times = Each.Times[Quarter];
       if (Times.Count <= 0)
@@ -72,6 +74,8 @@
     }
     New.Answered = Each.answered();
     New.Refused = Each.refused();
+    New.Served = Each.served();
+    New.Failed = Each.failed();
     for (const wire::LoadQuarter &Part : Each.quarters())
       if (Part.quarter() < pacing::Quarters)
         New.Times[Part.quarter()] = {static_cast<double>(Part.count()),
@@ -92,6 +96,7 @@
     Out.add_slowness_percents(percentOf(Each.Slowness));
     Out.add_pace_percents(percentOf(Each.Pace));
     Out.add_limits(static_cast<std::uint32_t>(Each.Limit));
+    Out.add_failure_percents(percentOf(Each.FailureShare));
   }
   return Out.SerializeAsString();
 }
@@ -103,9 +108,10 @@
   if (!From.ParseFromString(Bytes))
     return std::nullopt;
   int Count = From.keys_size();
-  for (int Size : {From.loads_size(), From.load_ages_ms_size(),
-                   From.slots_size(), From.slowness_percents_size(),
-                   From.pace_percents_size(), From.limits_size()})
+  for (int Size :
+       {From.loads_size(), From.load_ages_ms_size(), From.slots_size(),
+        From.slowness_percents_size(), From.pace_percents_size(),
+        From.limits_size(), From.failure_percents_size()})
     if (Size != Count)
       return std::nullopt;
   std::unordered_map<std::uint32_t, const catalog::TargetEntry *> ByKey;
@@ -124,6 +130,7 @@
     New.Slowness = From.slowness_percents(Index) / Percent;
     New.Pace = From.pace_percents(Index) / Percent;
     New.Limit = From.limits(Index);
+    New.FailureShare = From.failure_percents(Index) / Percent;
   }
   return Out;
 }
--- a/src/control/tests/figuremessagestest.cpp
+++ b/src/control/tests/figuremessagestest.cpp
@@ -23,7 +23,7 @@
 
 TEST(FigureMessagesTest, FiguresAreReadAsTheyWereWritten) {
   dispatch::FigureTable Table;
-  Table[{"a"}] = {{7}, 9, Start - milliseconds(300), 12, 2.5, 1.25, 6};
+  Table[{"a"}] = {{7}, 9, Start - milliseconds(300), 12, 2.5, 1.25, 6, 0.25};
   Table[{"gone"}] = {{1}, 3, Start, 12, 1, 1, 12};
   std::string Bytes = encodeFigures(Table, Start);
   // Received 40 ms later.
@@ -37,6 +37,7 @@
   EXPECT_DOUBLE_EQ(Got.Slowness, 2.5);
   EXPECT_DOUBLE_EQ(Got.Pace, 1.25);
   EXPECT_EQ(Got.Limit, 6);
+  EXPECT_DOUBLE_EQ(Got.FailureShare, 0.25);
 }
 
 // Failure: bytes that can't be read, and lists of unequal length.
--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -56,6 +56,8 @@
       TargetState.LoadAt = TargetState.FiguresAt = {};
       TargetState.Scarce = false;
       TargetState.OwnPlaces = TargetState.FreePlaces = 0;
+      TargetState.AssumedIdleAt = {};
+      TargetState.MeanLoad = TargetState.FailureShare = 0;
     }
     TargetState.Lifetime = Target.Entry.Lifetime;
     TargetState.View.configure(Seen);
@@ -140,6 +142,7 @@
       continue;
     TargetState->Pace = Figures.Pace;
     TargetState->Limit = static_cast<double>(Figures.Limit);
+    TargetState->FailureShare = Figures.FailureShare;
     TargetState->FiguresAt = At;
     if (const catalog::Target *Target = this->find(Id))
       this->FiguresAt[Target->Entry.Service] = At;
@@ -166,10 +169,19 @@
   Of.FreePlaces = static_cast<unsigned>(Part) + (Draw(this->Random) ? 1U : 0U);
 }
 
-bool TargetSelector::mayUsePlace(const State &TargetState,
-                                 base::TimePoint Now) const {
-  return !this->isLoadKnown(TargetState, Now) ||
-         TargetState.OwnPlaces + TargetState.FreePlaces > 0;
+bool TargetSelector::mayUsePlace(const catalog::Target &Target,
+                                 State &TargetState, base::TimePoint Now) {
+  bool AssumeIdle =
+      !this->isLoadKnown(TargetState, Now) &&
+      Now >= TargetState.AssumedIdleAt + this->Settings.AssumedIdleFor;
+  if (AssumeIdle) {
+    TargetState.AssumedIdleAt = Now;
+    TargetState.StatedLoad = 0;
+    if (TargetState.Slots <= 0)
+      TargetState.Slots = Target.Entry.Slots;
+    this->drawPlaces(TargetState);
+  }
+  return TargetState.OwnPlaces + TargetState.FreePlaces > 0;
 }
 
 void TargetSelector::usePlace(State &TargetState) {
@@ -372,6 +384,8 @@
     // A plain service runs as many requests as it has slots and queues the
     // rest.
     double Slots = std::max(1.0, static_cast<double>(Target.Entry.Slots));
+    if (this->hasFigures(TargetState, Now))
+      Load = TargetState.MeanLoad + TargetState.View.inFlight();
     constexpr double WorkMillis = 50;
     return (1 + Load / Slots) * WorkMillis;
   }
@@ -396,7 +410,9 @@
     Millis *= this->statedSlowness(TargetState, Now) * TargetState.Pace;
   }
   if (Target.Entry.Zone != this->Settings.Zone)
-    Millis += this->Settings.OtherZoneMillis;
+    Millis += this->hasFigures(TargetState, Now)
+                  ? this->Settings.OtherZoneMillisWithFigures
+                  : this->Settings.OtherZoneMillis;
   return Millis + this->failureRate(TargetState, Now) *
                       this->Settings.FailurePenaltyMillis;
 }
@@ -426,6 +442,21 @@
     From.push_back(Kept);
 }
 
+const catalog::Target *
+TargetSelector::drawByCost(const std::vector<const catalog::Target *> &From,
+                           const TargetQuery &Query, base::TimePoint Now) {
+  if (From.empty())
+    return nullptr;
+  std::vector<double> Weights;
+  for (const catalog::Target *Each : From) {
+    double Cost =
+        this->cost(*Each, *this->stateOf(Each->Entry.Id), Query, {}, Now);
+    Weights.push_back(1 / (Cost * Cost));
+  }
+  std::discrete_distribution<std::size_t> Draw(Weights.begin(), Weights.end());
+  return From[Draw(this->Random)];
+}
+
 bool TargetSelector::isListedModel(const TargetQuery &Query) const {
   const catalog::Service *Service =
       this->Catalog ? this->Catalog->service(Query.Service) : nullptr;
@@ -494,8 +525,13 @@
   // Plain services queue rounds of requests and still meet the objective.
   if (HaveFigures && Contended && !Query.Model.empty())
     std::erase_if(Eligible, [&](const catalog::Target *Each) {
-      return !this->mayUsePlace(*this->stateOf(Each->Entry.Id), Now);
+      return !this->mayUsePlace(*Each, *this->stateOf(Each->Entry.Id), Now);
     });
+  if (HaveFigures && Query.Model.empty()) {
+    if (const catalog::Target *Drawn = this->drawByCost(Eligible, Query, Now))
+      return SendTo{Drawn->Entry.Id};
+    Eligible.clear();
+  }
   if (HaveFigures)
     this->drawCandidates(Eligible, Prompt);
   const catalog::Target *Best = nullptr;
@@ -545,6 +581,10 @@
 
 void TargetSelector::recordLoad(State &To, const StatedLoad &Load,
                                 base::TimePoint At) const {
+  std::chrono::duration<double> Age = At - To.LoadAt;
+  double Kept = std::exp(-std::max(Age / this->Settings.MeanLoadMemory, 0.0));
+  To.MeanLoad = To.MeanLoad * Kept +
+                static_cast<double>(Load.Running + Load.Waiting) * (1 - Kept);
   To.Slots = Load.Slots;
   To.LoadAt = At;
   To.StatedLoad = Load.Running + Load.Waiting;
@@ -560,13 +600,21 @@
   To.View.reported(Report);
 }
 
-double TargetSelector::failureRate(const State &TargetState,
-                                   base::TimePoint Now) const {
+double TargetSelector::ownFailureRate(const State &TargetState,
+                                      base::TimePoint Now) const {
   std::chrono::duration<double> Age = Now - TargetState.FailureAt;
   std::chrono::duration<double> DecayTime = this->Settings.FailureDecayTime;
   return TargetState.FailureRate * std::exp(-std::max(Age / DecayTime, 0.0));
 }
 
+double TargetSelector::failureRate(const State &TargetState,
+                                   base::TimePoint Now) const {
+  double Own = this->ownFailureRate(TargetState, Now);
+  return this->hasFigures(TargetState, Now)
+             ? std::max(Own, TargetState.FailureShare)
+             : Own;
+}
+
 void TargetSelector::onEnded(const base::TargetId &Id, AttemptEnd How,
                              base::TimePoint Now) {
   State *TargetState = this->stateOf(Id);
@@ -583,7 +631,7 @@
                           Now);
   if (How == AttemptEnd::Cancelled || How == AttemptEnd::Refused)
     return;
-  double Rate = this->failureRate(*TargetState, Now);
+  double Rate = this->ownFailureRate(*TargetState, Now);
   TargetState->FailureRate =
       Rate + this->Settings.FailureSmoothing * ((Served ? 0.0 : 1.0) - Rate);
   TargetState->FailureAt = Now;
--- a/src/dispatch/targetfigures.h
+++ b/src/dispatch/targetfigures.h
@@ -29,6 +29,8 @@
   double Pace = 1;
   /// The number of requests up to which the target does not slow down much.
   std::int64_t Limit = 0;
+  /// Share of the recent requests of all instances that failed there.
+  double FailureShare = 0;
 };
 
 using FigureTable = std::map<base::TargetId, TargetFigures>;
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -22,6 +22,12 @@
 /// loaded or that the last figures showed idle. An instance then sends only its
 /// part of what such a target takes, and one for each of its own that has
 /// ended.
+///
+/// Load pattern: a plain service runs a request for some 60 ms, much less than
+/// the age of the published loads, on few targets. If all instances chose the
+/// one with the lowest published load, that one would be full by the next
+/// figures and the others idle. Its targets are drawn, the faster and less
+/// loaded ones more often.
 
 #include "base/clock.h"
 #include "catalog/target.h"
@@ -147,6 +153,16 @@
   /// Cost of another availability zone: the additional round trip and the price
   /// of traffic between zones.
   double OtherZoneMillis = 2;
+  /// The same where figures are published, so that targets of all zones are
+  /// about equally loaded and most requests find a good one in their zone.
+  double OtherZoneMillisWithFigures = 5;
+  /// Time constant of the mean load of a plain service's target: several times
+  /// the interval of figures.
+  std::chrono::milliseconds MeanLoadMemory{1000};
+  /// While a model is wanted by all instances, an engine whose load is unknown
+  /// counts as idle for this long from its first request: until figures tell
+  /// more.
+  std::chrono::milliseconds AssumedIdleFor{500};
   /// Cost added to a target that has failed all of its recent requests.
   double FailurePenaltyMillis = 2000;
   /// Weight of a new result in a target's failure rate, and the time constant
@@ -249,6 +265,12 @@
     /// that have ended, and its part of the free places.
     unsigned OwnPlaces = 0;
     unsigned FreePlaces = 0;
+    /// When it was last assumed to be idle, as its load was unknown.
+    base::TimePoint AssumedIdleAt;
+    /// Of the stated loads, over MeanLoadMemory.
+    double MeanLoad = 0;
+    /// As published.
+    double FailureShare = 0;
     /// Models and adapters that the target was found to lack, each with the
     /// time until which it counts as lacking.
     std::map<std::pair<base::ModelId, base::AdapterId>, base::TimePoint>
@@ -272,7 +294,13 @@
   /// Works out this instance's part of the free places; a fraction is one place
   /// with that probability.
   void drawPlaces(State &Of);
-  bool mayUsePlace(const State &TargetState, base::TimePoint Now) const;
+  bool mayUsePlace(const catalog::Target &Target, State &TargetState,
+                   base::TimePoint Now);
+  /// Draws one of a plain service's targets, those with a lower cost more
+  /// often; null if there is none.
+  const catalog::Target *
+  drawByCost(const std::vector<const catalog::Target *> &From,
+             const TargetQuery &Query, base::TimePoint Now);
   static void usePlace(State &TargetState);
   /// The slowness that the target has stated lately; 1 otherwise.
   double statedSlowness(const State &Of, base::TimePoint Now) const;
@@ -320,6 +348,9 @@
   /// of the prompt.
   void drawCandidates(std::vector<const catalog::Target *> &From,
                       const PromptChain &Prompt);
+  /// Of this instance's requests.
+  double ownFailureRate(const State &TargetState, base::TimePoint Now) const;
+  /// The same, or that of all instances if it is higher.
   double failureRate(const State &TargetState, base::TimePoint Now) const;
   static PromptChain promptChain(const TargetQuery &Query);
   double missingTokens(const base::TargetId &Id,
--- a/src/dispatch/tests/targetselectortest.cpp
+++ b/src/dispatch/tests/targetselectortest.cpp
@@ -302,6 +302,7 @@
       List->Targets[Target.Entry.Id] = Target;
       this->Running[Target.Entry.Id] = {};
     }
+    this->Listed = List;
     auto Config = std::make_shared<catalog::Catalog>();
     Config->Services[Pool].Id = Pool;
     Config->Services[Pool].Engine.emplace();
@@ -336,6 +337,20 @@
     }
   }
 
+  /// Another target holds the model from now on; nobody has heard of its load.
+  base::TargetId addCopy() {
+    catalog::Target New;
+    New.Entry.Id = {"new"};
+    New.Entry.Service = Pool;
+    New.Entry.Slots = Slots;
+    New.Entry.Models[Model];
+    auto List = std::make_shared<catalog::TargetList>(*this->Listed);
+    List->Targets[New.Entry.Id] = New;
+    for (TargetSelector &Each : this->Selectors)
+      Each.setTargets(List);
+    return New.Entry.Id;
+  }
+
   /// Requests that find no target wait at their instance, and are tried again
   /// in each step.
   void setWaiting(bool New) { this->Waits = New; }
@@ -344,6 +359,7 @@
   int Full = 0;
   int Ended = 0;
   std::map<base::TargetId, int> Sent;
+  std::map<base::TargetId, int> FullAt;
 
 private:
   static constexpr int Copies = 20;
@@ -407,6 +423,7 @@
       Requests.push_back({Index, this->Now + Takes});
     } else {
       ++this->Full;
+      ++this->FullAt[To->Target];
       Selector.onEnded(To->Target, AttemptEnd::Refused, this->Now);
     }
     Selector.onStatedLoad(To->Target, this->stated(To->Target), this->Now);
@@ -415,6 +432,7 @@
 
   bool Publishes;
   bool Waits = false;
+  catalog::TargetListPtr Listed;
   std::map<std::size_t, int> Waiting;
   std::vector<TargetSelector> Selectors;
   std::map<base::TargetId, std::vector<Request>> Running;
@@ -458,3 +476,164 @@
   double Most = 20 * 12 * (18 / 1.2 + 2 / 3.6) / 20;
   EXPECT_GT(With.Ended, 0.85 * Most);
 }
+
+// Load: a copy of a model that is asked for twice as much as is served has just
+// been loaded, and nobody has heard of its load. Guards against all instances
+// sending their waiting requests there: 7,481 of 8,106 refusals on a day of
+// high load came from such copies.
+TEST(SharedTargetsTest, ACopyOfUnknownLoadIsNotFlooded) {
+  SharedTargets With(true);
+  With.setWaiting(true);
+  With.play(std::chrono::seconds(5), 400);
+  base::TargetId New = With.addCopy();
+  With.play(std::chrono::seconds(2), 400);
+  EXPECT_LT(With.FullAt[New] * 10, With.Sent[New]);
+  // It is used from the start.
+  EXPECT_GT(With.Sent[New], 12);
+}
+
+namespace {
+
+/// Three targets of a plain service, one of which takes twice as long, and 60
+/// instances that get figures every 250 ms.
+class PlainTargets {
+public:
+  PlainTargets() {
+    auto List = std::make_shared<catalog::TargetList>();
+    for (const auto &[Id, Each] : this->Queues) {
+      catalog::Target Target;
+      Target.Entry.Id = Id;
+      Target.Entry.Service = Pool;
+      Target.Entry.Slots = Slots;
+      List->Targets[Id] = Target;
+    }
+    auto Config = std::make_shared<catalog::Catalog>();
+    Config->Services[Pool].Id = Pool;
+    for (std::uint64_t Index = 0; Index < Instances; ++Index) {
+      TargetSelectorSettings Settings;
+      Settings.Seed = Index;
+      auto &New = this->Selectors.emplace_back(Settings);
+      New.setCatalog(Config);
+      New.setTargets(List);
+    }
+  }
+
+  void play(std::chrono::seconds For, double PerSecond) {
+    constexpr milliseconds Step{1};
+    std::bernoulli_distribution Asks(PerSecond / 1000);
+    std::uniform_int_distribution<std::size_t> Any(0, Instances - 1);
+    for (base::TimePoint End = this->Now + For; this->Now < End;
+         this->Now += Step) {
+      for (auto &[Id, Queue] : this->Queues)
+        this->run(Id, Queue);
+      if ((this->Now - Start) % milliseconds(250) == milliseconds(0))
+        this->publish();
+      if (Asks(this->Random))
+        this->ask(this->Selectors[Any(this->Random)]);
+    }
+  }
+
+  int Asked = 0;
+  int Late = 0;
+
+private:
+  static constexpr std::size_t Instances = 60;
+  static constexpr int Slots = 6;
+  static constexpr milliseconds Objective{300};
+  struct Request {
+    TargetSelector *From = nullptr;
+    base::TimePoint AskedAt;
+    base::TimePoint EndsAt;
+  };
+
+  /// The first of the queue run, in as many slots as there are.
+  void run(const base::TargetId &Id, std::vector<Request> &Queue) {
+    milliseconds Takes(Id.Value == "slow" ? 120 : 60);
+    for (std::size_t Slot = 0; Slot < Queue.size() && Slot < Slots; ++Slot)
+      if (Queue[Slot].EndsAt == base::TimePoint{})
+        Queue[Slot].EndsAt = this->Now + Takes;
+    std::erase_if(Queue, [&](const Request &Each) {
+      if (Each.EndsAt == base::TimePoint{} || Each.EndsAt > this->Now)
+        return false;
+      this->Late += this->Now - Each.AskedAt > Objective ? 1 : 0;
+      Each.From->onStatedLoad(Id, stated(Id, Queue), this->Now);
+      Each.From->onEnded(Id, AttemptEnd::Served, this->Now);
+      return true;
+    });
+  }
+
+  static StatedLoad stated(const base::TargetId &Id,
+                           const std::vector<Request> &Queue) {
+    return {static_cast<std::int64_t>(Queue.size()), 0, Slots,
+            Id.Value == "slow" ? 2.0 : 1.0};
+  }
+
+  void publish() {
+    FigureTable Table;
+    for (const auto &[Id, Queue] : this->Queues) {
+      StatedLoad Load = stated(Id, Queue);
+      Table[Id] = {{}, Load.Running, this->Now, Slots, *Load.Slowness,
+                   1,  Slots};
+    }
+    for (TargetSelector &Each : this->Selectors)
+      Each.setFigures(Table, this->Now);
+  }
+
+  void ask(TargetSelector &By) {
+    ++this->Asked;
+    TargetQuery Query;
+    Query.Service = Pool;
+    TargetChoice Choice = By.choose(Query, this->Now);
+    auto *To = std::get_if<SendTo>(&Choice);
+    if (To == nullptr) {
+      ++this->Late;
+      return;
+    }
+    By.onSent(Query, To->Target, this->Now);
+    this->Queues[To->Target].push_back({&By, this->Now, {}});
+  }
+
+  std::map<base::TargetId, std::vector<Request>> Queues{
+      {{"a"}, {}}, {{"b"}, {}}, {{"slow"}, {}}};
+  std::vector<TargetSelector> Selectors;
+  std::mt19937_64 Random{1};
+  base::TimePoint Now = Start;
+};
+
+} // namespace
+
+// Load: seven tenths of what three targets of a plain service do. Guards
+// against all instances following the last figures to the same target: 30 in
+// 1,000 answers were late here, and a fifth of them on a day with such load.
+TEST(PlainTargetsTest, FewAnswersAreLate) {
+  PlainTargets Targets;
+  Targets.play(std::chrono::seconds(20), 180);
+  EXPECT_LT(Targets.Late * 50, Targets.Asked);
+}
+
+// Failure: a target fails part of its requests, and this instance has sent it
+// none yet.
+TEST(TargetSelectorFiguresTest, ATargetThatFailsForOthersIsAvoided) {
+  TargetSelector Selector({});
+  auto List = std::make_shared<catalog::TargetList>();
+  FigureTable Table;
+  for (const char *Id : {"a", "b"}) {
+    catalog::Target Target;
+    Target.Entry.Id = {Id};
+    Target.Entry.Service = Pool;
+    Target.Entry.Slots = 6;
+    List->Targets[Target.Entry.Id] = Target;
+    Table[Target.Entry.Id] = {{}, 0, Start, 6, 1, 1, 6};
+  }
+  Table[{"b"}].FailureShare = 0.2;
+  Selector.setTargets(List);
+  Selector.setFigures(Table, Start);
+  TargetQuery Query;
+  Query.Service = Pool;
+  int Failing = 0;
+  for (int Each = 0; Each < 1000; ++Each) {
+    TargetChoice Choice = Selector.choose(Query, Start);
+    Failing += std::get<SendTo>(Choice).Target.Value == "b" ? 1 : 0;
+  }
+  EXPECT_LT(Failing, 50);
+}
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -780,6 +780,10 @@
 void Exchange::endAttempt(dispatch::AttemptEnd How, bool ServesQueue) {
   base::TimePoint Now = this->now();
   this->Context.Selector.onEnded(*this->Target, How, Now);
+  bool Failed = How == dispatch::AttemptEnd::Broken ||
+                How == dispatch::AttemptEnd::ServerError;
+  if (Failed || How == dispatch::AttemptEnd::Served)
+    this->Context.Samples.onEnded(*this->Target, this->TargetLifetime, Failed);
   if (How == dispatch::AttemptEnd::Broken)
     this->recordUnansweredWait();
   // An end that is not stated may be the target's own end.
--- a/src/pacing/internal/samplecollector.cpp
+++ b/src/pacing/internal/samplecollector.cpp
@@ -48,6 +48,12 @@
   ++this->sampleOf(Target, Lifetime).Refused;
 }
 
+void SampleCollector::onEnded(const base::TargetId &Target,
+                              catalog::Lifetime Lifetime, bool Failed) {
+  TargetSample &Sample = this->sampleOf(Target, Lifetime);
+  ++(Failed ? Sample.Failed : Sample.Served);
+}
+
 std::vector<TargetSample> SampleCollector::take() {
   std::vector<TargetSample> Out;
   for (auto &[Id, Each] : std::exchange(this->Samples, {})) {
--- a/src/pacing/internal/targetlearner.cpp
+++ b/src/pacing/internal/targetlearner.cpp
@@ -63,6 +63,22 @@
   To.LoadAt = Sample.LoadAt;
 }
 
+void TargetLearner::onEnds(Entry &To, const TargetSample &Sample,
+                           base::TimePoint Now) const {
+  if (Sample.Served + Sample.Failed == 0)
+    return;
+  double Kept = this->decayed(To.EndsAt, Now);
+  To.Served = To.Served * Kept + Sample.Served;
+  To.Failed = To.Failed * Kept + Sample.Failed;
+  To.EndsAt = Now;
+}
+
+double TargetLearner::failureShare(const Entry &Of, base::TimePoint Now) const {
+  double Kept = this->decayed(Of.EndsAt, Now);
+  double Ends = (Of.Served + Of.Failed) * Kept;
+  return Of.Failed * Kept / (Ends + this->Settings.PriorEnds);
+}
+
 void TargetLearner::onSample(const TargetSample &Sample, base::TimePoint Now) {
   if (this->find(Sample.Target, Sample.Lifetime) == nullptr)
     return;
@@ -71,6 +87,7 @@
     To = {};
   To.Lifetime = Sample.Lifetime;
   this->onLoad(To, Sample);
+  this->onEnds(To, Sample, Now);
   if (Sample.Answered == 0)
     return;
   double Kept = this->decayed(To.TimesAt, Now);
@@ -158,6 +175,7 @@
     auto Found = Usual.find(Target->Entry.Service);
     New.Pace = Found == Usual.end() ? 1 : this->pace(Each, Found->second, Now);
     New.Limit = this->limit(Each, Now);
+    New.FailureShare = this->failureShare(Each, Now);
   }
   return Out;
 }
--- a/src/pacing/samplecollector.h
+++ b/src/pacing/samplecollector.h
@@ -38,6 +38,8 @@
   /// attempt waited that ended without one.
   void onAnswered(const SentAttempt &Sent, base::Duration Took);
   void onFull(const base::TargetId &Target, catalog::Lifetime Lifetime);
+  void onEnded(const base::TargetId &Target, catalog::Lifetime Lifetime,
+               bool Failed);
   /// Takes the samples since the last call.
   std::vector<TargetSample> take();
 
--- a/src/pacing/targetlearner.h
+++ b/src/pacing/targetlearner.h
@@ -9,8 +9,12 @@
 /// share machines with others, so that their speed changes, and some slow down
 /// long before they are full. A target that became slow gets few requests and
 /// is judged by them; without any, it counts as usual again after a while and
-/// is tried with single requests. Runs at the lease holder; a new one learns
-/// anew. No I/O and no clock.
+/// is tried with single requests.
+///
+/// Load pattern: a target fails part of its requests while its health answers
+/// are good. An instance that goes by its own requests only finds out by some
+/// failures of its own, and so does each of the others. Runs at the lease
+/// holder; a new one learns anew. No I/O and no clock.
 
 #include "dispatch/targetfigures.h"
 #include "pacing/targetsample.h"
@@ -34,6 +38,8 @@
   /// times as long as with few requests: callers' objectives leave about that
   /// much above an idle target.
   double MaxSlowdown = 2;
+  /// Ends that weigh as much as the assumption that a target fails nothing.
+  double PriorEnds = 5;
   double MinPace = 0.25;
   double MaxPace = 20;
 };
@@ -58,9 +64,14 @@
     bool StatesSlowness = false;
     std::array<AnswerTimes, Quarters> Times;
     base::TimePoint TimesAt;
+    double Served = 0;
+    double Failed = 0;
+    base::TimePoint EndsAt;
   };
 
   void onLoad(Entry &To, const TargetSample &Sample) const;
+  void onEnds(Entry &To, const TargetSample &Sample, base::TimePoint Now) const;
+  double failureShare(const Entry &Of, base::TimePoint Now) const;
   double decayed(base::TimePoint Since, base::TimePoint Now) const;
   /// The sum of all quarters at \p Now.
   AnswerTimes total(const Entry &Of, base::TimePoint Now) const;
--- a/src/pacing/targetsample.h
+++ b/src/pacing/targetsample.h
@@ -45,6 +45,10 @@
   unsigned Answered = 0;
   /// Refused for lack of room.
   unsigned Refused = 0;
+  /// Attempts that ended with an answer, and those that failed with a server
+  /// error or broke off.
+  unsigned Served = 0;
+  unsigned Failed = 0;
 };
 
 } // namespace kingcuphub::pacing
--- a/src/pacing/tests/targetlearnertest.cpp
+++ b/src/pacing/tests/targetlearnertest.cpp
@@ -136,3 +136,19 @@
   Off.onStatedLoad({"b"}, {1}, {1, 0, Slots, 1.5}, {});
   EXPECT_TRUE(Off.take().empty());
 }
+
+// Load: a target fails a fifth of its requests while its health answers are
+// good. Guards against each of 60 instances having to find out by itself.
+TEST_F(TargetLearnerTest, WhatFailsForAllInstancesIsLearnedOnce) {
+  for (int Each = 0; Each < 30; ++Each) {
+    SampleCollector Instance(SamplingMode::All);
+    Instance.onStatedLoad(id(3), {1}, {1, 0, Slots, 1.0}, this->Now);
+    Instance.onEnded(id(3), {1}, Each % 5 == 0);
+    for (const TargetSample &Sample : Instance.take())
+      this->Learner.onSample(Sample, this->Now);
+    this->Now += milliseconds(50);
+  }
+  EXPECT_NEAR(this->figures(3).FailureShare, 0.18, 0.05);
+  this->Now += std::chrono::seconds(20);
+  EXPECT_EQ(this->figures(3).FailureShare, 0);
+}
