--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -271,15 +271,23 @@
 
 void HolderRole::logSlowTargets(const dispatch::FigureTable &Figures) {
   constexpr double SlowPace = 2;
+  constexpr double FailingShare = 0.1;
   std::int64_t Slow = 0;
+  std::int64_t Failing = 0;
   for (const auto &[Id, Each] : Figures) {
     bool IsSlow = Each.Pace >= SlowPace || Each.Limit < Each.Slots;
+    bool IsFailing = Each.FailureShare >= FailingShare;
     Slow += IsSlow ? 1 : 0;
-    if (std::exchange(this->LoggedSlow[Id], IsSlow) == IsSlow)
+    Failing += IsFailing ? 1 : 0;
+    bool IsUnusual = IsSlow || IsFailing;
+    if (std::exchange(this->LoggedSlow[Id], IsUnusual) == IsUnusual)
       continue;
     base::logEvent(base::LogLevel::Info,
-                   IsSlow ? "target-slow" : "target-usual-again",
+                   !IsUnusual ? "target-usual-again"
+                   : IsSlow   ? "target-slow"
+                              : "target-failing",
                    {{"target", Id.Value},
+                    {"failure_share", Each.FailureShare},
                     {"pace", Each.Pace},
                     {"slowness", Each.Slowness},
                     {"limit", Each.Limit},
@@ -290,6 +298,7 @@
     return Figures.count(Each.first) == 0;
   });
   this->Metrics.counter("slow_targets").set(Slow);
+  this->Metrics.counter("failing_targets").set(Failing);
 }
 
 void HolderRole::addEvidence(const wire::InstanceReport &Report) {
