The start of traffic, or of a holder, is no rise in demand

Cause: the rise is the rate of the last 1.5 s less that of the last 6 s, and both begin at nothing.

Change: the rise compares the rates over the time for which demand is known. Rates that other decisions use are as before.

--- a/src/residency/demandtracker.h
+++ b/src/residency/demandtracker.h
@@ -4,10 +4,15 @@
 /// \file
 /// Demand for each model and adapter over all instances, as a smoothed rate
 /// that follows changes within a second or two. No I/O and no clock.
+///
+/// Load pattern: traffic starts, or another instance becomes the holder and
+/// knows no demand before its first reports. Taken for a rise, that made the
+/// holder unload 90 models in a second for copies that nobody needed.
 
 #include "residency/types.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace kingcuphub::residency {
@@ -35,8 +40,8 @@
   /// The maximum of Work and the same rate over a longer time; decides which
   /// items are evicted.
   double EvictionWork = 0;
-  /// How much Work exceeds the rate over the longer time: the rise of the last
-  /// seconds.
+  /// How much the rate of the last second or two exceeds that of the last
+  /// seconds, each over the time for which demand has been known.
   double Rise = 0;
   unsigned Waiting = 0;
   bool Recent = false;
@@ -48,6 +53,9 @@
 public:
   explicit DemandTracker(DemandTrackerSettings Settings) : Settings(Settings) {}
 
+  /// Handles that this instance has become the holder: demand is known from now
+  /// on only, unless it got reports until lately.
+  void restart(base::TimePoint Now);
   void onUse(const base::InstanceId &From, const std::vector<ItemUse> &Use,
              base::TimePoint Now);
   /// Demand for a model with all its adapters, or for one adapter.
@@ -72,7 +80,13 @@
   static double decay(const Entry &Rates, base::Duration Smoothing,
                       base::TimePoint Now);
 
+  /// The part of a rate over \p Smoothing that is known since KnownSince.
+  double knownShare(base::Duration Smoothing, base::TimePoint Now) const;
+
   DemandTrackerSettings Settings;
+  /// The first report, or when this instance became the holder.
+  std::optional<base::TimePoint> KnownSince;
+  base::TimePoint LastReportAt;
   std::map<catalog::ServiceId, Items> Services;
 };
 
--- a/src/residency/internal/demandtracker.cpp
+++ b/src/residency/internal/demandtracker.cpp
@@ -57,6 +57,19 @@
   return std::exp(-std::max(Age, 0.0) / Seconds(Smoothing).count());
 }
 
+void DemandTracker::restart(base::TimePoint Now) {
+  if (Now > this->LastReportAt + this->Settings.EvictionSmoothing)
+    this->KnownSince.reset();
+}
+
+double DemandTracker::knownShare(base::Duration Smoothing,
+                                 base::TimePoint Now) const {
+  constexpr double Least = 0.05;
+  Seconds Known = Now - this->KnownSince.value_or(Now);
+  return std::max(Least,
+                  1 - std::exp(-std::max(Known / Seconds(Smoothing), 0.0)));
+}
+
 void DemandTracker::add(Entry &To, const base::InstanceId &From,
                         const ItemUse &Use, base::TimePoint Now) const {
   // Exponential smoothing turns discrete amounts of work into a rate.
@@ -78,6 +91,10 @@
 void DemandTracker::onUse(const base::InstanceId &From,
                           const std::vector<ItemUse> &Use,
                           base::TimePoint Now) {
+  if (!Use.empty()) {
+    this->KnownSince = this->KnownSince.value_or(Now);
+    this->LastReportAt = Now;
+  }
   std::map<std::pair<catalog::ServiceId, base::ModelId>, ItemUse> Models;
   for (const ItemUse &Each : Use) {
     if (Each.What.isAdapter())
@@ -106,7 +123,10 @@
   double LongerWork =
       Rates.EvictionWork * decay(Rates, this->Settings.EvictionSmoothing, Now);
   Out.EvictionWork = std::max(Out.Work, LongerWork);
-  Out.Rise = std::max(0.0, Out.Work - LongerWork);
+  Out.Rise = std::max(
+      0.0,
+      Out.Work / this->knownShare(this->Settings.Smoothing, Now) -
+          LongerWork / this->knownShare(this->Settings.EvictionSmoothing, Now));
   Out.Recent = Now < Rates.AskedAt + this->Settings.RecentFor;
   Out.InUse = Now < Rates.AskedAt + this->Settings.InUseFor;
   for (const auto &[From, Reported] : Rates.Waiting)
--- a/src/residency/internal/holder.cpp
+++ b/src/residency/internal/holder.cpp
@@ -22,6 +22,7 @@
   if (!Gained)
     return;
   this->Engines.reset();
+  this->Demand.restart(Now);
   // The previous holder may have just used up the weight store's rate.
   for (auto &[Id, Each] : this->Budgets)
     Each.start(Now);
