Orders for targets go by the trend of all models together

Cause: the rise of the service was the sum of its models' rises, of which only those above nothing counted.

Change: Demand.Trend may be below nothing, and the service's rise is that of the sum.

--- a/src/residency/demandtracker.h
+++ b/src/residency/demandtracker.h
@@ -41,8 +41,9 @@
   /// items are evicted.
   double EvictionWork = 0;
   /// How much the rate of the last second or two exceeds that of the last
-  /// seconds, each over the time for which demand has been known.
-  double Rise = 0;
+  /// seconds, each over the time for which demand has been known; below 0 if it
+  /// falls.
+  double Trend = 0;
   unsigned Waiting = 0;
   bool Recent = false;
   /// Requested so recently that a request for it may still be running.
--- a/src/residency/internal/demandtracker.cpp
+++ b/src/residency/internal/demandtracker.cpp
@@ -123,10 +123,9 @@
   double LongerWork =
       Rates.EvictionWork * decay(Rates, this->Settings.EvictionSmoothing, Now);
   Out.EvictionWork = std::max(Out.Work, LongerWork);
-  Out.Rise = std::max(
-      0.0,
+  Out.Trend =
       Out.Work / this->knownShare(this->Settings.Smoothing, Now) -
-          LongerWork / this->knownShare(this->Settings.EvictionSmoothing, Now));
+      LongerWork / this->knownShare(this->Settings.EvictionSmoothing, Now);
   Out.Recent = Now < Rates.AskedAt + this->Settings.RecentFor;
   Out.InUse = Now < Rates.AskedAt + this->Settings.InUseFor;
   for (const auto &[From, Reported] : Rates.Waiting)
--- a/src/residency/internal/holder.cpp
+++ b/src/residency/internal/holder.cpp
@@ -53,12 +53,15 @@
     return Out;
   const catalog::Engine &Kind = *Service->Engine;
   double LargestMb = 0;
+  double Trend = 0;
   for (const auto &[Model, Each] : Kind.Models) {
     residency::Demand Asked = this->Demand.demandOf(Id, {Model, {}}, Now);
     Out.Work += Asked.Work;
-    Out.Rise += Asked.Rise;
+    Trend += Asked.Trend;
     LargestMb = std::max(LargestMb, Each.WeightsMb);
   }
+  // Models that are asked for less make up for others.
+  Out.Rise = std::max(0.0, Trend);
   double Speed = 0;
   unsigned Known = 0;
   for (const EngineView &Each : this->Engines.views(Now))
--- a/src/residency/internal/planner.cpp
+++ b/src/residency/internal/planner.cpp
@@ -174,9 +174,10 @@
         Work += this->workAt(Each);
         Carried += this->capacity() / this->slowness(Each);
       }
-    double Rising = State.Demand.Work > 0
-                        ? std::min(1.0, State.Demand.Rise / State.Demand.Work)
-                        : 0;
+    double Rising =
+        State.Demand.Work > 0
+            ? std::clamp(State.Demand.Trend / State.Demand.Work, 0.0, 1.0)
+            : 0;
     // No copy is loaded yet: the ones on their way will carry it all.
     if (Carried <= 0)
       return State.workPerCopy() / this->capacity() * (1 + Rising);
--- a/src/residency/tests/demandtrackertest.cpp
+++ b/src/residency/tests/demandtrackertest.cpp
@@ -42,15 +42,15 @@
 // nobody needed.
 TEST_F(DemandTrackerTest, TheStartOfTrafficIsNoRise) {
   this->play(seconds(1), 8);
-  EXPECT_LT(this->demand().Rise, 2);
+  EXPECT_LT(this->demand().Trend, 2);
   this->play(seconds(4), 8);
-  EXPECT_LT(this->demand().Rise, 1);
+  EXPECT_LT(this->demand().Trend, 1);
 }
 
 TEST_F(DemandTrackerTest, AJumpIsARise) {
   this->play(seconds(20), 2);
   this->play(seconds(2), 20);
-  EXPECT_GT(this->demand().Rise, 4);
+  EXPECT_GT(this->demand().Trend, 4);
 }
 
 // Failure: the holder changes, and the next one knows nothing of the demand
@@ -60,5 +60,24 @@
   this->Now += seconds(60);
   this->Demand.restart(this->Now);
   this->play(seconds(1), 8);
-  EXPECT_LT(this->demand().Rise, 2);
+  EXPECT_LT(this->demand().Trend, 2);
+}
+
+// Guards against orders for targets by the noise of hundreds of models, whose
+// rises alone add up to much of the demand.
+TEST_F(DemandTrackerTest, WhatMovesBetweenModelsCancelsOut) {
+  const Item Other{{"other"}, {}};
+  this->play(seconds(20), 8);
+  for (int Each = 0; Each < 4; ++Each) {
+    ItemUse Use;
+    Use.Service = Pool;
+    Use.What = Other;
+    Use.Arrived = 1;
+    Use.Work = std::chrono::duration<double>(2);
+    this->Demand.onUse({"i"}, {Use}, this->Now);
+    this->Now += milliseconds(250);
+  }
+  double Rising = this->Demand.demandOf(Pool, Other, this->Now).Trend;
+  EXPECT_GT(Rising, 2);
+  EXPECT_LT(this->demand().Trend + Rising, Rising / 2);
 }
