Orders for targets count the work that requests use, and wait for traffic

Change: nothing is ordered for a service without demand, and engines carry two and a half times as much work by that measure.

--- a/src/control/internal/scalingduty.cpp
+++ b/src/control/internal/scalingduty.cpp
@@ -70,6 +70,10 @@
     if (!Service.Scaling || !Service.Engine)
       continue;
     residency::ServiceLoad Load = Demand.serviceLoad(Id, Now);
+    // Before traffic starts the list of targets may be incomplete, and zones
+    // that are not known yet would count as none.
+    if (Load.Work <= 0)
+      continue;
     this->Scaler.update(Id,
                         {*Service.Scaling, Load.Work, Load.Rise,
                          Load.CarriedPerEngine, Load.EnginesForModels,
--- a/src/residency/internal/holder.cpp
+++ b/src/residency/internal/holder.cpp
@@ -70,8 +70,12 @@
       Speed += 1 / Found->second;
       ++Known;
     }
+  // Callers state the most tokens that they accept. On a day when a third of
+  // the places was in use, the work by that measure was 0.9 of what engines
+  // carry.
+  constexpr double UsedShareOfWork = 0.4;
   Out.CarriedPerEngine = workPerEngine(Kind, this->Settings.Planner) *
-                         (Known == 0 ? 1 : Speed / Known);
+                         (Known == 0 ? 1 : Speed / Known) / UsedShareOfWork;
   double PerEngine = LargestMb > 0 ? std::floor(Kind.WeightsMb / LargestMb) : 0;
   if (PerEngine > 0)
     Out.EnginesForModels = static_cast<unsigned>(
