--- a/src/residency/internal/holder.cpp
+++ b/src/residency/internal/holder.cpp
@@ -70,9 +70,9 @@
       Speed += 1 / Found->second;
       ++Known;
     }
-  // Callers state the most tokens that they accept and use about a third. At
-  // 0.4 a quiet day's targets were too few for the copies of its models: 0.929
-  // of the requests were served instead of 0.947.
+  // Callers state the most tokens that they accept and use fewer. At 0.4 a
+  // quiet day's targets held too few copies: 0.929 of the requests were served
+  // instead of 0.947.
   constexpr double UsedShareOfWork = 0.6;
   Out.CarriedPerEngine = workPerEngine(Kind, this->Settings.Planner) *
                          (Known == 0 ? 1 : Speed / Known) / UsedShareOfWork;
