--- a/review/lab2.py
+++ b/review/lab2.py
@@ -191,65 +191,16 @@
             {"offset": end, "end": end + len(added)})
 
 
-class Link:
-    """A way to the store that can be cut in silence, as a partition does: what
-    is sent meanwhile waits for its end, and connections that are opened
-    meanwhile never answer."""
-
-    def __init__(self, port):
-        self.to_port = port
-        self.cut = False
-        self.healed = asyncio.Event()
-        self.healed.set()
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-
-    def set_cut(self, cut):
-        self.cut = cut
-        if cut:
-            self.healed.clear()
-        else:
-            self.healed.set()
-
-    async def serve(self, reader, writer):
-        if self.cut:
-            # The handshake would have been lost.
-            while await reader.read(65536):
-                pass
-            writer.close()
-            return
-        try:
-            far_reader, far_writer = await asyncio.open_connection(
-                "127.0.0.1", self.to_port)
-        except OSError:
-            writer.close()
-            return
-        await asyncio.gather(self.pump(reader, far_writer),
-                             self.pump(far_reader, writer))
-
-    async def pump(self, source, target):
-        try:
-            while data := await source.read(65536):
-                await self.healed.wait()
-                target.write(data)
-                await target.drain()
-        except (ConnectionError, OSError):
-            pass
-        finally:
-            target.close()
-
-
 class LosingLink:
     """A way to a store that turns this machine away in silence for a while:
     what it would answer meanwhile is lost, and a connection on which an answer
     was lost, or on which something was asked meanwhile, returns nothing
-    further."""
+    further. Open connections can also go silent for good, while new ones work."""
 
     def __init__(self, port):
         self.to_port = port
         self.away = False
+        self.connections = []
         self.lost = 0
         # Set when this machine begins to wait for changes of the operator's.
         self.long_poll = asyncio.Event()
@@ -258,8 +209,14 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def silence(self):
+        for state in self.connections:
+            state["dead"] = True
+        self.connections.clear()
+
     async def serve(self, reader, writer):
         state = {"dead": self.away}
+        self.connections.append(state)
         try:
             far_reader, far_writer = await asyncio.open_connection(
                 "127.0.0.1", self.to_port)
