Forwarding: an answer that is reset during the upload is cut

Callers got a part of an answer as a whole 200. A worker answers a long upload at once without a length, sends a part of its body and resets the connection while the upload is still being written.

Cause: Linux reports the error of a connection once. ForwardConnection left a failed write to the read that follows ("the pending read tells why"). Where the write was told of the reset, that read saw an end in order, which completes a response without a length. A paused call has no read pending, so there the write is always told first.

Change: the writer hands on its error, and an end in order that is read after it counts as a cut with that error. Reading goes on before, so a response that states its end is still whole.

Weighed: any failed write as a cut, which would also cut whole answers of workers that end in order and then close without reading the rest.

--- a/src/forwarding/tests/rawtargetfixture.h
+++ b/src/forwarding/tests/rawtargetfixture.h
@@ -3,12 +3,16 @@
 
 #include "common/rawcaller.h"
 #include "common/rawserver.h"
+#include "common/understood.h"
 #include "forwarderfixture.h"
 
 namespace kingcuphub::forwarding {
 
 using standin::RawCaller;
 using standin::RawConnection;
+using standin::Seen;
+using standin::understand;
+using standin::Understood;
 
 inline constexpr const char *Unframed = "";
 inline constexpr const char *Chunked = "Transfer-Encoding: chunked\r\n";
@@ -34,40 +38,6 @@
   return "id: " + std::to_string(Id) + "\ndata: x\n\n";
 }
 
-/// What a caller may conclude from what it got.
-enum class Seen {
-  /// Nothing yet: the connection is open and the answer is not complete.
-  Pending,
-  /// The answer has come to the end that it stated.
-  Complete,
-  /// The answer stated no end, and its connection ended in order.
-  EndNotStated,
-  BrokenOff,
-};
-
-struct Understood {
-  Seen End = Seen::Pending;
-  int Status = 0;
-  std::string Body;
-};
-
-/// \p HasBody: false for the answer to a HEAD request.
-inline Understood understand(const RawCaller &Caller, bool HasBody = true) {
-  Understood Out;
-  http::MessageParser Parser(
-      http::MessageKind::Response, 65536,
-      {[&Out](const http::MessageHead &Head) { Out.Status = Head.Status; },
-       [&Out](std::string_view Piece) { Out.Body.append(Piece); }});
-  Parser.reset(HasBody);
-  if (Parser.feed(Caller.received()).Complete)
-    Out.End = Seen::Complete;
-  else if (Caller.ending() == RawCaller::Ending::Reset)
-    Out.End = Seen::BrokenOff;
-  else if (Caller.ending() == RawCaller::Ending::InOrder)
-    Out.End = Parser.finish().Complete ? Seen::EndNotStated : Seen::BrokenOff;
-  return Out;
-}
-
 /// Targets that write their answers byte by byte.
 class RawTargetTest : public ForwarderTest {
 protected:
--- a/src/http/internal/forwardconnection.cpp
+++ b/src/http/internal/forwardconnection.cpp
@@ -151,10 +151,10 @@
                      [this](asio::error_code Failed, std::string_view Bytes) {
                        this->onRead(Failed, Bytes);
                      });
-  this->Writer.start(this->weak_from_this(),
-                     {[this] { this->RequestSent = true; },
-                      // The pending read tells why.
-                      [] {}});
+  this->Writer.start(
+      this->weak_from_this(),
+      {[this] { this->RequestSent = true; },
+       [this](asio::error_code Failed) { this->onSendFailed(Failed); }});
   this->ConnectTimer.expires_after(this->Settings.ConnectTimeout);
   this->ConnectTimer.async_wait(
       [this, Weak = this->weak_from_this()](asio::error_code Failed) {
@@ -203,6 +203,15 @@
     this->Writer.send(std::move(Body));
 }
 
+/// Reading goes on, as a whole response may have arrived. Linux reports the
+/// error of a connection only once, so that a read after a failed write sees an
+/// end in order. A reset that comes after the peer's own end in order is
+/// reported as broken_pipe, and cuts no response.
+void ForwardConnection::onSendFailed(asio::error_code Failed) {
+  if (Failed != asio::error::broken_pipe)
+    this->SendError = Failed;
+}
+
 void ForwardConnection::read() {
   if (this->Paused || this->At == Phase::Closed)
     return;
@@ -222,12 +231,13 @@
     this->read();
     return;
   }
-  bool Orderly = Failed == asio::error::eof;
+  asio::error_code Why = this->SendError ? this->SendError : Failed;
+  bool Orderly = Why == asio::error::eof;
   if (Orderly && this->Parser.finish().Complete) {
     this->end(ForwardEnd::ConnectionEnded, "");
     return;
   }
-  this->end(ForwardEnd::Cut, Failed.message());
+  this->end(ForwardEnd::Cut, Why.message());
 }
 
 void ForwardConnection::onBytes(std::string_view Bytes) {
--- a/src/http/internal/forwardconnection.h
+++ b/src/http/internal/forwardconnection.h
@@ -46,6 +46,7 @@
   void connect();
   void setOptions();
   void sendRequest();
+  void onSendFailed(asio::error_code Failed);
   void read();
   void onRead(asio::error_code Failed, std::string_view Bytes);
   void onBytes(std::string_view Bytes);
@@ -73,6 +74,8 @@
   bool KeepAlive = false;
   bool RequestSent = false;
   bool Sending = false;
+  /// Why the connection has broken, where only the writer was told.
+  asio::error_code SendError;
   bool Reused = false;
   bool Paused = false;
   std::chrono::milliseconds IdleFor{0};
--- a/src/http/internal/serverconnection.cpp
+++ b/src/http/internal/serverconnection.cpp
@@ -228,8 +228,9 @@
                      [this](asio::error_code Failed, std::string_view Bytes) {
                        this->onRead(Failed, Bytes);
                      });
-  this->Writer.start(this->weak_from_this(), {[this] { this->onAllSent(); },
-                                              [this] { this->close(); }});
+  this->Writer.start(this->weak_from_this(),
+                     {[this] { this->onAllSent(); },
+                      [this](asio::error_code) { this->close(); }});
   this->read();
   this->watch();
 }
--- a/src/http/internal/streamwriter.cpp
+++ b/src/http/internal/streamwriter.cpp
@@ -84,7 +84,7 @@
   if (Failed == asio::error::would_block)
     this->waitForRoom(std::move(Alive));
   else if (Failed)
-    this->Take.OnFailed();
+    this->Take.OnFailed(Failed);
   else
     this->Take.OnAllSent();
 }
@@ -124,7 +124,7 @@
         if (Failed == asio::error::would_block)
           this->waitForRoom(std::move(Alive));
         else if (Failed)
-          this->Take.OnFailed();
+          this->Take.OnFailed(Failed);
         else
           this->flush(std::move(Alive));
       });
--- a/src/http/internal/streamwriter.h
+++ b/src/http/internal/streamwriter.h
@@ -20,7 +20,8 @@
 public:
   struct Handlers {
     std::function<void()> OnAllSent;
-    std::function<void()> OnFailed;
+    /// The system reports an error once: a read after it sees an end in order.
+    std::function<void(asio::error_code)> OnFailed;
   };
 
   explicit StreamWriter(asio::ip::tcp::socket &Socket);
--- a/src/http/tests/forwardclienttest.cpp
+++ b/src/http/tests/forwardclienttest.cpp
@@ -33,14 +33,14 @@
     });
   }
 
-  std::shared_ptr<ForwardCall> ask() {
+  std::shared_ptr<ForwardCall> ask(std::string Upload = "body") {
     this->Result.reset();
     ForwardCallbacks Callbacks;
     Callbacks.OnData = [this](std::string_view Bytes) { this->Body += Bytes; };
     Callbacks.OnDone = [this](const ForwardResult &Got) { this->Result = Got; };
     return this->Client->start(
         this->To,
-        {"POST", "/x", {{"Host", "h"}}, std::make_shared<std::string>("body")},
+        {"POST", "/x", {{"Host", "h"}}, std::make_shared<std::string>(Upload)},
         std::move(Callbacks));
   }
 
@@ -62,6 +62,33 @@
     asio::write(*this->Accepted[Index], asio::buffer(Bytes));
   }
 
+  /// Answers a request whose upload is still under way, without stating an
+  /// end. The call does not read on, so that only the writer can learn of what
+  /// becomes of the connection.
+  std::shared_ptr<ForwardCall> answerDuringUpload(const std::string &Bytes) {
+    this->Body.clear();
+    std::size_t Index = this->Accepted.size();
+    auto Call = this->ask(std::string(LargeUploadBytes, 'u'));
+    EXPECT_TRUE(this->runUntil([&] { return this->Accepted.size() > Index; }));
+    asio::write(*this->Accepted[Index],
+                asio::buffer("HTTP/1.1 200 OK\r\n\r\n" + Bytes));
+    EXPECT_TRUE(this->runUntil([&] { return !this->Body.empty(); }));
+    Call->pause();
+    this->Loop.run_for(SettlingTime);
+    EXPECT_FALSE(this->Result);
+    return Call;
+  }
+
+  void resetConnection(std::size_t Index) {
+    this->Accepted[Index]->set_option(asio::socket_base::linger(true, 0));
+    this->Accepted[Index]->close();
+    this->Loop.run_for(SettlingTime);
+  }
+
+  /// More than both systems buffer.
+  static constexpr std::size_t LargeUploadBytes = 32U << 20U;
+  /// In which the loop handles what has happened to a connection.
+  static constexpr std::chrono::milliseconds SettlingTime{100};
   static constexpr const char *Whole =
       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok";
 
@@ -165,6 +192,55 @@
   }
 }
 
+/// The system reports a reset once, here to the write.
+TEST_F(ForwardClientTest, AnAnswerThatIsResetDuringTheUploadIsCut) {
+  std::string Part(64U << 10U, 'a');
+  for (bool Unread : {false, true}) {
+    std::size_t Index = this->Accepted.size();
+    auto Call = this->answerDuringUpload(Part);
+    if (Unread)
+      // The system resets a connection that is closed with unread bytes.
+      this->Accepted[Index]->close();
+    else
+      this->resetConnection(Index);
+    this->Loop.run_for(SettlingTime);
+    Call->resume();
+    ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+    EXPECT_EQ(this->Result->End, ForwardEnd::Cut) << Unread;
+    EXPECT_FALSE(this->Result->Detail.empty()) << Unread;
+  }
+}
+
+TEST_F(ForwardClientTest, AnAnswerThatStatesItsEndIsWholeDespiteAReset) {
+  this->Body.clear();
+  auto Call = this->ask(std::string(LargeUploadBytes, 'u'));
+  ASSERT_TRUE(this->runUntil([&] { return !this->Accepted.empty(); }));
+  Call->pause();
+  asio::write(*this->Accepted[0], asio::buffer(std::string(Whole)));
+  this->Loop.run_for(SettlingTime);
+  this->resetConnection(0);
+  Call->resume();
+  ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+  EXPECT_EQ(this->Result->End, ForwardEnd::Complete);
+  EXPECT_EQ(this->Body, "ok");
+}
+
+TEST_F(ForwardClientTest, AnAnswerThatEndsInOrderDuringTheUploadIsWhole) {
+  std::string Answer(64U << 10U, 'a');
+  for (bool ResetLater : {false, true}) {
+    std::size_t Index = this->Accepted.size();
+    auto Call = this->answerDuringUpload(Answer);
+    this->Accepted[Index]->shutdown(tcp::socket::shutdown_send);
+    this->Loop.run_for(SettlingTime);
+    if (ResetLater)
+      this->resetConnection(Index);
+    Call->resume();
+    ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
+    EXPECT_EQ(this->Result->End, ForwardEnd::ConnectionEnded) << ResetLater;
+    EXPECT_EQ(this->Body, Answer) << ResetLater;
+  }
+}
+
 TEST_F(ForwardClientTest, BytesThatAreNoAnswerAreSaidSo) {
   this->ask();
   this->answer(0, "nonsense\r\n\r\n");
--- a/src/http/tests/streamwritertest.cpp
+++ b/src/http/tests/streamwritertest.cpp
@@ -38,7 +38,7 @@
     Pair Connected(Loop);
     StreamWriter Writer(Connected.Near);
     auto Owner = std::make_shared<int>(0);
-    Writer.start(Owner, {[] {}, [] {}});
+    Writer.start(Owner, {[] {}, [](asio::error_code) {}});
     Writer.send("id: 51\n\n");
     for (int Done = 0; Done < Steps / 2; ++Done)
       Loop.poll_one();
@@ -61,7 +61,8 @@
   StreamWriter Writer(Connected.Near);
   auto Owner = std::make_shared<int>(0);
   bool AllSent = false;
-  Writer.start(Owner, {[&AllSent] { AllSent = true; }, [] {}});
+  Writer.start(Owner,
+               {[&AllSent] { AllSent = true; }, [](asio::error_code) {}});
   std::string Sent;
   for (int Line = 0; Line < 2000000; ++Line)
     Sent += std::to_string(Line) + "\n";
@@ -87,7 +88,7 @@
   Pair Connected(Loop);
   StreamWriter Writer(Connected.Near);
   auto Owner = std::make_shared<int>(0);
-  Writer.start(Owner, {[] {}, [] {}});
+  Writer.start(Owner, {[] {}, [](asio::error_code) {}});
   constexpr std::size_t BodyBytes = 20U << 20U;
   auto Body = std::make_shared<const std::string>(BodyBytes, 'b');
   Writer.send("head");
--- a/standins/common/rawconnection.cpp
+++ b/standins/common/rawconnection.cpp
@@ -14,8 +14,8 @@
 
 } // namespace
 
-RawConnection::RawConnection(tcp::socket Socket, Handler Take)
-    : Socket(std::move(Socket)), Take(std::move(Take)),
+RawConnection::RawConnection(tcp::socket Socket, Handler Take, HandOver When)
+    : Socket(std::move(Socket)), Take(std::move(Take)), When(When),
       Parser(http::MessageKind::Request, MaxHeadBytes,
              {[this](http::MessageHead Head) {
                 this->Incoming = {};
@@ -24,6 +24,7 @@
                     Head.Target.substr(0, Head.Target.find('?'));
                 this->Incoming.Target = std::move(Head.Target);
                 this->Incoming.Headers = std::move(Head.Headers);
+                this->HeadRead = true;
               },
               [this](std::string_view Piece) {
                 this->Incoming.Body.append(Piece);
@@ -116,13 +117,38 @@
 void RawConnection::take(std::string_view Bytes) {
   while (!Bytes.empty()) {
     http::MessageParser::Progress Done = this->Parser.feed(Bytes);
+    bool AtHead = this->When == HandOver::Head && this->HeadRead;
+    if (Done.Complete || AtHead)
+      this->handOver();
+    this->checkRead();
     if (Done.Failed || !Done.Complete)
       return;
     Bytes.remove_prefix(Done.Consumed);
     this->Parser.reset();
-    ++this->Requests;
-    this->Take(std::exchange(this->Incoming, {}), this->shared_from_this());
+    this->Incoming = {};
+    this->HeadRead = this->HandedOver = false;
   }
 }
 
+void RawConnection::handOver() {
+  if (std::exchange(this->HandedOver, true))
+    return;
+  ++this->Requests;
+  this->Take(this->Incoming, this->shared_from_this());
+}
+
+void RawConnection::whenRead(std::size_t BodyBytes,
+                             std::function<void(RawConnection &)> Then) {
+  this->AwaitedBodyBytes = BodyBytes;
+  this->OnAwaitedRead = std::move(Then);
+  this->checkRead();
+}
+
+void RawConnection::checkRead() {
+  if (!this->OnAwaitedRead ||
+      this->Incoming.Body.size() < this->AwaitedBodyBytes)
+    return;
+  std::exchange(this->OnAwaitedRead, nullptr)(*this);
+}
+
 } // namespace kingcuphub::standin
--- a/standins/common/rawconnection.h
+++ b/standins/common/rawconnection.h
@@ -21,19 +21,33 @@
 
 namespace kingcuphub::standin {
 
+/// When a request is handed to the server's handler.
+enum class HandOver {
+  /// Once it has arrived whole.
+  WholeRequest,
+  /// As soon as its head has arrived; its body is read on.
+  Head,
+};
+
 /// The server's end of a connection.
 class RawConnection : public std::enable_shared_from_this<RawConnection> {
 public:
   using Handler = std::function<void(const http::Request &,
                                      const std::shared_ptr<RawConnection> &)>;
 
-  RawConnection(asio::ip::tcp::socket Socket, Handler Take);
+  RawConnection(asio::ip::tcp::socket Socket, Handler Take,
+                HandOver When = HandOver::WholeRequest);
   void start();
   /// Reads nothing until resume(): what arrives waits in the system, as for a
   /// process that does not run.
   void pause();
   void resume();
 
+  /// Calls \p Then as soon as this many bytes of the request's body have been
+  /// read, at once if they have been already.
+  void whenRead(std::size_t BodyBytes,
+                std::function<void(RawConnection &)> Then);
+
   /// For answers that fit into the socket's buffer.
   void write(std::string_view Bytes);
   /// Writes \p Piece again and again until the connection ends, each time after
@@ -56,12 +70,20 @@
 private:
   void read();
   void take(std::string_view Bytes);
+  void handOver();
+  void checkRead();
 
   asio::ip::tcp::socket Socket;
   Handler Take;
+  HandOver When;
   http::MessageParser Parser;
   http::Request Incoming;
   std::array<char, 16384> Buffer{};
+  /// Of the request that is being read.
+  bool HeadRead = false;
+  bool HandedOver = false;
+  std::size_t AwaitedBodyBytes = 0;
+  std::function<void(RawConnection &)> OnAwaitedRead;
   unsigned Requests = 0;
   std::size_t WrittenWithoutEnd = 0;
   bool PeerGone = false;
--- a/standins/common/rawserver.cpp
+++ b/standins/common/rawserver.cpp
@@ -10,9 +10,10 @@
 
 } // namespace
 
-RawServer::RawServer(asio::io_context &Loop, RawConnection::Handler Take)
+RawServer::RawServer(asio::io_context &Loop, RawConnection::Handler Take,
+                     HandOver When)
     : Listener(Loop, {asio::ip::address_v4::loopback(), 0}),
-      Take(std::move(Take)) {
+      Take(std::move(Take)), When(When) {
   this->accept();
 }
 
@@ -53,25 +54,26 @@
 
 void RawServer::accept() {
   this->Accepting = true;
-  this->Listener.async_accept([this, Live = this->Alive](
-                                  asio::error_code Failed, tcp::socket New) {
-    if (!*Live)
-      return;
-    this->Accepting = false;
-    bool Cancelled = Failed == asio::error::operation_aborted;
-    if (!this->Listener.is_open() || (Failed && !Cancelled))
-      return;
-    if (!Failed) {
-      ++this->Accepted;
-      auto Each = std::make_shared<RawConnection>(std::move(New), this->Take);
-      this->Connections.insert(Each);
-      if (this->Paused)
-        Each->pause();
-      Each->start();
-    }
-    if (!this->Paused)
-      this->accept();
-  });
+  this->Listener.async_accept(
+      [this, Live = this->Alive](asio::error_code Failed, tcp::socket New) {
+        if (!*Live)
+          return;
+        this->Accepting = false;
+        bool Cancelled = Failed == asio::error::operation_aborted;
+        if (!this->Listener.is_open() || (Failed && !Cancelled))
+          return;
+        if (!Failed) {
+          ++this->Accepted;
+          auto Each = std::make_shared<RawConnection>(std::move(New),
+                                                      this->Take, this->When);
+          this->Connections.insert(Each);
+          if (this->Paused)
+            Each->pause();
+          Each->start();
+        }
+        if (!this->Paused)
+          this->accept();
+      });
 }
 
 } // namespace kingcuphub::standin
--- a/standins/common/rawserver.h
+++ b/standins/common/rawserver.h
@@ -17,7 +17,8 @@
 /// Hands each request that arrives to its handler, which writes the answer.
 class RawServer {
 public:
-  RawServer(asio::io_context &Loop, RawConnection::Handler Take);
+  RawServer(asio::io_context &Loop, RawConnection::Handler Take,
+            HandOver When = HandOver::WholeRequest);
   RawServer(const RawServer &) = delete;
   RawServer &operator=(const RawServer &) = delete;
   ~RawServer();
@@ -38,6 +39,7 @@
 
   asio::ip::tcp::acceptor Listener;
   RawConnection::Handler Take;
+  HandOver When;
   std::set<std::shared_ptr<RawConnection>> Connections;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   unsigned Accepted = 0;
