Parsing: a message with a name that is no token is malformed

Callers got an answer whose head held a name with a blank, with that line passed on, or with 2 of its 5 bytes where the line was `Content-Length : 2`. Requests with such a line reached targets, beside a length of ours or, as `X-Tenant : other`, beside the account that only the system may set.

Cause: Debian's build of http-parser lets blanks pass in a name, and itself reads `Content-Length : 2` as a length. All that looks a header up by its name (the check for two lengths, headers of one connection or of the system only) does not find it, so that two readers of one head disagree.

Change: MessageParser checks each piece of a name against RFC 9110, 5.6.2, in heads, interim heads and trailers, of both kinds of message, before the library acts on the line. A request gets 400 (RFC 9112, 5.1), an answer is no answer: 502, or another target where the route allows it. A begun answer whose trailers hold such a name is broken off.

--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -18,6 +18,10 @@
   std::string Value;
 };
 
+/// Whether a text is a token (RFC 9110, section 5.6.2), as the name of a header
+/// has to be.
+bool isToken(std::string_view Text);
+
 /// Compares the names of headers, without case.
 bool equalNames(std::string_view Left, std::string_view Right);
 
--- a/src/http/internal/httpmessage.cpp
+++ b/src/http/internal/httpmessage.cpp
@@ -8,6 +8,13 @@
 
 namespace {
 
+bool isTokenByte(char Byte) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return (Byte >= '0' && Byte <= '9') || (Byte >= 'A' && Byte <= 'Z') ||
+         (Byte >= 'a' && Byte <= 'z') ||
+         Marks.find(Byte) != std::string_view::npos;
+}
+
 int hexValue(char Digit) {
   if (Digit >= '0' && Digit <= '9')
     return Digit - '0';
@@ -35,6 +42,10 @@
 
 } // namespace
 
+bool isToken(std::string_view Text) {
+  return !Text.empty() && std::all_of(Text.begin(), Text.end(), isTokenByte);
+}
+
 bool equalNames(std::string_view Left, std::string_view Right) {
   return Left.size() == Right.size() &&
          strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
--- a/src/http/internal/messageparser.cpp
+++ b/src/http/internal/messageparser.cpp
@@ -192,7 +192,7 @@
     (this->HeadDone ? this->Framing : this->Overhead) += Size;
     if (this->Overhead + this->extraFraming() <= this->MaxHeadBytes)
       return 0;
-    return this->failTooLarge();
+    return this->fail(ParseErrc::HeadTooLarge);
   }
 
   /// Bytes since the last piece of the body that a plain chunk would not have.
@@ -200,9 +200,9 @@
     return this->Framing - std::min(this->Framing, PlainChunkBytes);
   }
 
-  int failTooLarge() {
+  int fail(ParseErrc Why) {
     if (!this->Failed)
-      this->Failed = make_error_code(ParseErrc::HeadTooLarge);
+      this->Failed = make_error_code(Why);
     return 1;
   }
 
@@ -211,12 +211,16 @@
     return this->countTo(Piece.data() + Piece.size());
   }
 
+  /// The library lets blanks pass, and reads `Content-Length : 2` as a length
+  /// that findHeader() does not find.
   int onName(std::string_view Piece) {
+    if (!Piece.empty() && !isToken(Piece))
+      return this->fail(ParseErrc::Malformed);
     // Trailers follow the body; nothing here uses them.
     if (!this->HeadDone) {
       if (std::exchange(this->ValueBegun, false)) {
         if (this->Head.Headers.size() == MaxHeaderLines)
-          return this->failTooLarge();
+          return this->fail(ParseErrc::HeadTooLarge);
         this->Head.Headers.emplace_back();
       }
       this->Head.Headers.back().Name.append(Piece);
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -21,7 +21,7 @@
 namespace kingcuphub::http {
 
 enum class ParseErrc {
-  /// Not HTTP/1.1, or a field that cannot be read.
+  /// Not HTTP/1.1, or a field that cannot be read; its name has to be a token.
   Malformed = 1,
   /// More than one way to tell where the body ends.
   AmbiguousLength,
--- a/src/http/tests/messageparsertest.cpp
+++ b/src/http/tests/messageparsertest.cpp
@@ -1,6 +1,7 @@
 #include "http/messageparser.h"
 
 #include <array>
+#include <cctype>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -81,6 +82,38 @@
                "a: bbbbbbbbbbbbbbbbbbbbbbbbbbbb"},
 };
 
+/// RFC 9110, section 5.6.2.
+bool isTokenByte(unsigned char Byte) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return std::isalnum(Byte) != 0 ||
+         Marks.find(static_cast<char>(Byte)) != std::string_view::npos;
+}
+
+/// Where a line is put into a message: what stands before it and after it.
+struct LinePlace {
+  MessageKind Kind;
+  std::string_view Before;
+  std::string_view After;
+  /// Behind another line, which a line that begins with a blank continues.
+  bool MayContinue = false;
+};
+
+constexpr std::array LinePlaces = {
+    LinePlace{MessageKind::Request, "GET / HTTP/1.1\r\n", "Host: x\r\n\r\n"},
+    LinePlace{MessageKind::Request, "GET / HTTP/1.1\r\nHost: x\r\n", "\r\n",
+              true},
+    LinePlace{MessageKind::Request,
+              "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+              "\r\n"},
+    LinePlace{MessageKind::Response, "HTTP/1.1 200 OK\r\n",
+              "Content-Length: 0\r\n\r\n"},
+    LinePlace{MessageKind::Response,
+              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: y\r\n", "\r\n", true},
+    LinePlace{MessageKind::Response, "HTTP/1.1 103 Early Hints\r\n",
+              "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+    LinePlace{MessageKind::Response, ChunkedResponseEnd, "\r\n"},
+};
+
 } // namespace
 
 RC_GTEST_PROP(MessageParserTest, TheSameMessageComesOutOfAnyPieces, ()) {
@@ -197,6 +230,57 @@
       }
 }
 
+// Guards against names that two readers of a head read differently, as
+// `Content-Length ` that only one of them takes for a length.
+TEST(MessageParserTest, ANameIsATokenOrTheMessageIsMalformed) {
+  constexpr std::string_view Name = "Name";
+  constexpr unsigned Bytes = 256;
+  for (const LinePlace &Place : LinePlaces)
+    for (unsigned Byte = 0; Byte < Bytes; ++Byte)
+      for (std::size_t At = 0; At <= Name.size(); ++At)
+        for (std::size_t Piece : {1U, 1000U}) {
+          // Without a name, or the end of a line.
+          if ((Byte == ':' && At > 0) || Byte == '\r' || Byte == '\n')
+            continue;
+          bool Continues =
+              Place.MayContinue && At == 0 && (Byte == ' ' || Byte == '\t');
+          std::string Line(Name);
+          Line.insert(At, 1, static_cast<char>(Byte));
+          std::string Whole(Place.Before);
+          Whole.append(Line).append(": value\r\n").append(Place.After);
+          Parsed Got(Place.Kind);
+          auto End = Got.feed(Whole, Piece);
+          bool Allowed =
+              Continues || isTokenByte(static_cast<unsigned char>(Byte));
+          EXPECT_EQ(End.Complete, Allowed)
+              << Place.Before << Byte << " at " << At << " by " << Piece;
+          if (!Allowed) {
+            EXPECT_EQ(End.Failed, ParseErrc::Malformed)
+                << Place.Before << Byte << " at " << At << " by " << Piece;
+          }
+        }
+}
+
+TEST(MessageParserTest, ALengthOrCodingWhoseNameHoldsABlankIsMalformed) {
+  for (MessageKind Kind : {MessageKind::Request, MessageKind::Response})
+    for (std::string_view Line :
+         {"Content-Length : 2\r\n", "Content-Length\t: 2\r\n",
+          "Transfer-Encoding : chunked\r\n", " Content-Length: 2\r\n",
+          "Content Length: 2\r\n"})
+      for (std::size_t Piece : {1U, 1000U}) {
+        Parsed Got(Kind);
+        std::string Bytes = Kind == MessageKind::Request
+                                ? "POST / HTTP/1.1\r\n"
+                                : "HTTP/1.1 200 OK\r\n";
+        Bytes.append(Line).append("\r\nabcde");
+        auto End = Got.feed(Bytes, Piece);
+        EXPECT_EQ(End.Failed, ParseErrc::Malformed) << Line << Piece;
+        EXPECT_EQ(Got.Head.Status, 0) << Line << Piece;
+        EXPECT_EQ(Got.Head.Method, "") << Line << Piece;
+        EXPECT_EQ(Got.Body, "") << Line << Piece;
+      }
+}
+
 TEST(MessageParserTest, AResponseWithoutALengthEndsWithItsConnection) {
   Parsed Got(MessageKind::Response);
   EXPECT_FALSE(Got.feed("HTTP/1.1 200 OK\r\n\r\nabc", 7).Complete);
