HTTP client: an answer with a name that is no token is none

Callers of the product's gateway got a service's answer whose head held a name with a blank, with that line passed on beside a length of ours.

Cause: libcurl hands the lines of a head on as they are, and CurlClient took all before the colon for a name; a line without a colon was left out. As in MessageParser, `Content-Length ` is no length for findHeader(), and other readers may take it for one.

Change: a line whose name is no token drops the transfer as cut, in heads, interim heads and trailers. A line that continues the one before becomes part of its value (RFC 9112, 5.2) and no longer a name of its own. What ends a transfer early is one type now (DropReason), with its end. Result.Status is 0 until an answer has begun, as its comment says.

--- a/src/gateway/tests/atmostoncetest.cpp
+++ b/src/gateway/tests/atmostoncetest.cpp
@@ -109,6 +109,17 @@
   EXPECT_EQ(this->Agent->Results[0].outcome(), "unknown");
 }
 
+TEST_F(AtMostOnceTest, AnAnswerWithANameThatIsNoTokenIsNotPassedOn) {
+  this->startGateway();
+  int Call = 0;
+  for (const char *Name : {"Content-Length ", "X-Case Mark", "X-Case-Mark\t"}) {
+    this->Service->MoreHeaders = {{Name, "2"}};
+    Got Broken =
+        this->call(this->service("/dispatch/1", std::to_string(++Call)));
+    this->expectRefusal(Broken, 502, "answer_cut", "unknown");
+  }
+}
+
 TEST_F(AtMostOnceTest, AKeptConnectionThatClosesDoesNotRepeatTheCall) {
   this->startGateway();
   // The first call leaves a kept connection behind.
--- a/src/gateway/tests/fakes.cpp
+++ b/src/gateway/tests/fakes.cpp
@@ -242,6 +242,8 @@
         } else {
           Json Body = {{"executions", this->Calls.size()}};
           http::Response Whole = http::jsonResponse(this->Status, Body.dump());
+          for (const http::Header &Each : this->MoreHeaders)
+            Whole.Headers.push_back(Each);
           if (this->Unframed)
             Whole.EndedBy = http::BodyEnd::Connection;
           Answer->respond(Whole);
--- a/src/gateway/tests/fakes.h
+++ b/src/gateway/tests/fakes.h
@@ -146,6 +146,8 @@
   bool Silent = false;
   /// Answers with neither a length nor chunks.
   bool Unframed = false;
+  /// Written into the heads of its answers as they are.
+  std::vector<http::Header> MoreHeaders;
   void stop() { this->Server.reset(); }
 
 private:
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -66,7 +66,8 @@
   CannotConnect,
   /// A time limit passed.
   TimedOut,
-  /// The connection broke or the answer was cut short.
+  /// The connection broke, the answer was cut short, or what came is no HTTP
+  /// answer.
   Cut,
   /// The response passed a bound and was dropped with its connection.
   TooLarge,
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -58,6 +58,12 @@
 
 class CurlClient;
 
+/// Why a client ends a transfer by itself, and as what.
+struct DropReason {
+  TransferEnd End = TransferEnd::TooLarge;
+  std::string Detail;
+};
+
 struct Transfer {
   TransferId Id;
   CurlClient *Owner = nullptr;
@@ -70,8 +76,8 @@
   /// Counted against the bounds; a body without bound is not.
   std::size_t HeadBytes = 0;
   std::size_t BodyBytes = 0;
-  /// Which bound was passed; empty if none.
-  std::string TooLarge;
+  /// Set once the client has dropped it.
+  std::optional<DropReason> Dropped;
   /// No longer one of its client's, but not yet out of libcurl.
   bool Taken = false;
 
@@ -111,9 +117,17 @@
          !findHeader(Of.Head, "Transfer-Encoding").empty();
 }
 
-std::string boundText(const char *Of, std::size_t Bytes) {
-  return std::string("the ") + Of + " passed " + std::to_string(Bytes) +
-         " bytes";
+DropReason boundPassed(const char *By, std::size_t Bytes) {
+  return {TransferEnd::TooLarge, std::string("the ") + By + " passed " +
+                                     std::to_string(Bytes) + " bytes"};
+}
+
+DropReason malformed(std::string Detail) {
+  return {TransferEnd::Cut, std::move(Detail)};
+}
+
+std::string_view withoutBlanksBefore(std::string_view Text) {
+  return Text.substr(std::min(Text.size(), Text.find_first_not_of(" \t")));
 }
 
 /// libcurl hands on whole lines only and bounds a single one by itself, with a
@@ -305,16 +319,16 @@
   /// has the transfer dropped.
   bool admit(Transfer &Each, std::size_t &Counted, std::size_t Bytes,
              std::size_t Most, const char *Part) {
-    if (!Each.TooLarge.empty())
+    if (Each.Dropped)
       return false;
     if (Bytes > Most || Counted > Most - Bytes) {
-      this->drop(Each, boundText(Part, Most));
+      this->drop(Each, boundPassed(Part, Most));
       return false;
     }
     Counted += Bytes;
     this->BytesUnderWay += Bytes;
     this->keepWithinMemory();
-    return Each.TooLarge.empty();
+    return !Each.Dropped;
   }
 
   /// False if the body that the head announces passes its bound.
@@ -328,7 +342,7 @@
         std::from_chars(Text.data(), Text.data() + Text.size(), Length).ec;
     if (Read != std::errc::result_out_of_range && Length <= *Most)
       return true;
-    this->drop(Each, boundText("body", *Most));
+    this->drop(Each, boundPassed("body", *Most));
     return false;
   }
 
@@ -336,20 +350,20 @@
     while (this->BytesUnderWay > this->Settings.MaxBytesUnderWay) {
       Transfer *Most = nullptr;
       for (auto &[Easy, Each] : this->Transfers)
-        if (Each->TooLarge.empty() &&
+        if (!Each->Dropped &&
             (Most == nullptr || Each->share() > Most->share()))
           Most = Each.get();
       if (Most == nullptr)
         return;
-      this->drop(*Most, boundText("bytes of all transfers",
-                                  this->Settings.MaxBytesUnderWay));
+      this->drop(*Most, boundPassed("bytes of all transfers",
+                                    this->Settings.MaxBytesUnderWay));
     }
   }
 
-  /// Ends a transfer as too large; from the loop, as libcurl forbids removal
-  /// inside its own callbacks.
-  void drop(Transfer &Each, std::string Why) {
-    Each.TooLarge = std::move(Why);
+  /// Ends a transfer; from the loop, as libcurl forbids removal inside its own
+  /// callbacks.
+  void drop(Transfer &Each, DropReason Why) {
+    Each.Dropped = std::move(Why);
     this->BytesUnderWay -= Each.bytes();
     Each.HeadBytes = Each.BodyBytes = 0;
     asio::post(this->Loop, [this, Id = Each.Id, Live = this->Alive] {
@@ -390,8 +404,11 @@
       return Size * Count;
     }
     if (!Line.empty()) {
-      addHeader(Each->Head, Line);
-      return Size * Count;
+      if (addLine(Each->Head, Line))
+        return Size * Count;
+      if (!Each->Taken)
+        Each->Owner->drop(*Each, malformed("a line of the head has no name"));
+      return 0;
     }
     long Status = 0;
     curl_easy_getinfo(Each->Easy, CURLINFO_RESPONSE_CODE, &Status);
@@ -404,14 +421,20 @@
     return Size * Count;
   }
 
-  static void addHeader(std::vector<Header> &Head, std::string_view Line) {
+  /// libcurl hands lines on as they are. False for one that neither begins with
+  /// a name nor continues the line before.
+  static bool addLine(std::vector<Header> &Head, std::string_view Line) {
+    if (!Head.empty() && (Line.front() == ' ' || Line.front() == '\t')) {
+      Head.back().Value.append(" ").append(withoutBlanksBefore(Line));
+      return true;
+    }
     std::size_t Colon = Line.find(':');
-    if (Colon == std::string_view::npos)
-      return;
-    std::string_view Value = Line.substr(Colon + 1);
-    while (!Value.empty() && Value.front() == ' ')
-      Value.remove_prefix(1);
-    Head.push_back({std::string(Line.substr(0, Colon)), std::string(Value)});
+    std::string_view Name = Line.substr(0, Colon);
+    if (Colon == std::string_view::npos || !isToken(Name))
+      return false;
+    Head.push_back({std::string(Name),
+                    std::string(withoutBlanksBefore(Line.substr(Colon + 1)))});
+    return true;
   }
 
   static int socketCallback(CURL *, curl_socket_t Socket, int What, void *Owner,
@@ -509,8 +532,9 @@
     long Sent = 0;
     curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Status);
     curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &Sent);
-    Result.Status = static_cast<int>(Status);
-    if (Status != 0 && !hasStatedEnd(*Done, Result.Status))
+    if (Done->HeadDone)
+      Result.Status = static_cast<int>(Status);
+    if (Result.Status != 0 && !hasStatedEnd(*Done, Result.Status))
       Result.EndedBy = BodyEnd::Connection;
     Result.MayHaveBeenSent = Sent > 0 && Code != CURLE_COULDNT_CONNECT;
     Result.Detail = curl_easy_strerror(Code);
@@ -518,16 +542,14 @@
     if (Result.End == TransferEnd::CannotConnect && Result.MayHaveBeenSent)
       Result.End = TransferEnd::Cut;
     if (!Done->HeadDone && isLineTooLong(Code))
-      Done->TooLarge = "a line of the head passed libcurl's bound";
-    if (!Done->TooLarge.empty()) {
-      Result.End = TransferEnd::TooLarge;
-      Result.Detail = std::move(Done->TooLarge);
-    }
+      Done->Dropped = {TransferEnd::TooLarge,
+                       "a line of the head passed libcurl's bound"};
     // libcurl takes the end of the connection for the end of a head.
-    if (Result.End == TransferEnd::Complete && !Done->HeadDone) {
-      Result.End = TransferEnd::Cut;
-      Result.Status = 0;
-      Result.Detail = "head cut short";
+    if (Result.End == TransferEnd::Complete && !Done->HeadDone)
+      Done->Dropped = malformed("head cut short");
+    if (Done->Dropped) {
+      Result.End = Done->Dropped->End;
+      Result.Detail = std::move(Done->Dropped->Detail);
     }
     curl_multi_remove_handle(this->Multi, Easy);
     if (Done->Callbacks.OnDone)
--- a/src/http/tests/brokenanswertest.cpp
+++ b/src/http/tests/brokenanswertest.cpp
@@ -82,6 +82,40 @@
 
 } // namespace
 
+TEST_F(BrokenAnswerTest, AHeadWithANameThatIsNoTokenIsNoAnswer) {
+  for (const char *Line :
+       {"Content-Length : 5", "Content-Length : 2",
+        "Transfer-Encoding : chunked", "X-Case Mark: 1", "X-Case-Mark : 1",
+        " X-Case-Mark: 1", "X-Case-Mark\t: 1", "X-\x01Mark: 1", "X-\x7fMark: 1",
+        "X-\xe9Mark: 1", "X-(Mark): 1", ": 1", "no colon"}) {
+    this->askForBytes("HTTP/1.1 200 OK\r\n" + std::string(Line) +
+                      "\r\nContent-Length: 5\r\n\r\nhello");
+    this->expectNoAnswer(Line);
+    this->askForBytes("HTTP/1.1 200 OK\r\n" + std::string(Line) +
+                      "\r\n\r\nhello");
+    this->expectNoAnswer(Line);
+    this->askForBytes("HTTP/1.1 103 Early Hints\r\n" + std::string(Line) +
+                      "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+                      "5\r\n\r\nhello");
+    this->expectNoAnswer(Line);
+  }
+}
+
+TEST_F(BrokenAnswerTest, ATrailerWithANameThatIsNoTokenCutsTheAnswer) {
+  this->askForBytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "5\r\nhello\r\n0\r\nX-Case Mark: 1\r\n\r\n");
+  EXPECT_EQ(this->ending(), TransferEnd::Cut);
+}
+
+TEST_F(BrokenAnswerTest, ALineThatContinuesTheOneBeforeIsPartOfItsValue) {
+  this->askForBytes("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Long: one\r\n"
+                    "  two: three\r\n\r\nhello");
+  EXPECT_EQ(this->ending(), TransferEnd::Complete);
+  EXPECT_EQ(this->Body, "hello");
+  EXPECT_EQ(findHeader(this->Head, "X-Long"), "one two: three");
+  EXPECT_EQ(this->Head.size(), 2U);
+}
+
 TEST_F(BrokenAnswerTest, AnAnswerThatIsResetDuringTheUploadIsCut) {
   constexpr std::size_t UploadBytes = 4U << 20U;
   constexpr int Turns = 5;
