HTTP client: an answer with a status that does not exist is none

An answer with status 600 or 999 was handed on as one by CurlClient; the forwarder refuses the same since. Found by the tests of status 000, which already ended as a head cut short, with nothing handed on.

Change: the rule of MessageParser (RFC 9110, section 15) is a function that both use.

Measured: BrokenAnswerTest.AStatusThatDoesNotExistIsNoAnswer failed before for 600 and 999, held for 000, 001 and 099, and passes now.

--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -363,6 +363,8 @@
   /// Ends a transfer; from the loop, as libcurl forbids removal inside its own
   /// callbacks.
   void drop(Transfer &Each, DropReason Why) {
+    if (Each.Taken)
+      return;
     Each.Dropped = std::move(Why);
     this->BytesUnderWay -= Each.bytes();
     Each.HeadBytes = Each.BodyBytes = 0;
@@ -406,12 +408,15 @@
     if (!Line.empty()) {
       if (addLine(Each->Head, Line))
         return Size * Count;
-      if (!Each->Taken)
-        Each->Owner->drop(*Each, malformed("a line of the head has no name"));
+      Each->Owner->drop(*Each, malformed("a line of the head has no name"));
       return 0;
     }
     long Status = 0;
     curl_easy_getinfo(Each->Easy, CURLINFO_RESPONSE_CODE, &Status);
+    if (!isValidStatus(static_cast<int>(Status))) {
+      Each->Owner->drop(*Each, malformed("a status that does not exist"));
+      return 0;
+    }
     if (Status < 200 || std::exchange(Each->HeadDone, true))
       return Size * Count;
     if (!Each->Taken && !Each->Owner->admitLength(*Each, Status))
--- a/src/http/internal/messageparser.cpp
+++ b/src/http/internal/messageparser.cpp
@@ -31,8 +31,6 @@
 /// ends of line.
 constexpr std::size_t PlainChunkBytes = 20;
 constexpr int FirstFinalStatus = 200;
-constexpr int FirstStatus = 100;
-constexpr int LastStatus = 599;
 
 std::string_view trimmed(std::string_view Text) {
   while (!Text.empty() && (Text.front() == ' ' || Text.front() == '\t'))
@@ -258,12 +256,10 @@
            this->Raw.status_code < FirstFinalStatus;
   }
 
-  /// RFC 9110, section 15: a status outside of 100 to 599 is invalid. One
-  /// below 100 would otherwise pass as an interim response.
+  /// A status below 100 would otherwise pass as an interim response.
   bool hasValidStatus() const {
     return this->Kind == MessageKind::Request ||
-           (this->Raw.status_code >= FirstStatus &&
-            this->Raw.status_code <= LastStatus);
+           isValidStatus(this->Raw.status_code);
   }
 
   int onHeadComplete() {
@@ -368,6 +364,12 @@
   return false;
 }
 
+bool isValidStatus(int Status) {
+  constexpr int First = 100;
+  constexpr int Last = 599;
+  return Status >= First && Status <= Last;
+}
+
 bool isBodyless(int Status) {
   return Status < 200 || Status == 204 || Status == 304;
 }
--- a/src/http/messageparser.h
+++ b/src/http/messageparser.h
@@ -105,6 +105,9 @@
 /// \p Connection is the message's Connection header, which may name more.
 bool isHopByHop(std::string_view Name, std::string_view Connection);
 
+/// Whether a status is one of RFC 9110, section 15: 100 to 599.
+bool isValidStatus(int Status);
+
 /// Whether responses with this status never have a body.
 bool isBodyless(int Status);
 
--- a/src/http/tests/brokenanswertest.cpp
+++ b/src/http/tests/brokenanswertest.cpp
@@ -116,6 +116,15 @@
   EXPECT_EQ(this->Head.size(), 2U);
 }
 
+TEST_F(BrokenAnswerTest, AStatusThatDoesNotExistIsNoAnswer) {
+  for (const char *Status : {"000", "001", "099", "600", "999"})
+    for (const char *Framing : {"", "Content-Length: 5\r\n"}) {
+      this->askForBytes("HTTP/1.1 " + std::string(Status) + " \r\n" + Framing +
+                        "\r\nhello");
+      this->expectNoAnswer(std::string(Status) + Framing);
+    }
+}
+
 TEST_F(BrokenAnswerTest, AnAnswerThatIsResetDuringTheUploadIsCut) {
   constexpr std::size_t UploadBytes = 4U << 20U;
   constexpr int Turns = 5;
