HTTP client: only the first line of a head is its status line

A line of a head that begins with `HTTP/` made CurlClient forget the lines before it and was left out itself, so that an answer with such a line was handed on without its first headers. `HTTP/` is no beginning of a token, so that the answer is none, as with other such names.

--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -72,6 +72,9 @@
   CURL *Easy = nullptr;
   curl_slist *HeaderList = nullptr;
   std::vector<Header> Head;
+  /// Between a status line and the empty line of that head.
+  bool InHead = false;
+  /// The final head has arrived.
   bool HeadDone = false;
   /// Counted against the bounds; a body without bound is not.
   std::size_t HeadBytes = 0;
@@ -401,7 +404,9 @@
       return 0;
     while (!Line.empty() && (Line.back() == '\n' || Line.back() == '\r'))
       Line.remove_suffix(1);
-    if (Line.substr(0, 5) == "HTTP/") {
+    bool MayBegin = !Each->InHead && !Each->HeadDone;
+    if (MayBegin && Line.substr(0, 5) == "HTTP/") {
+      Each->InHead = true;
       Each->Head.clear();
       return Size * Count;
     }
@@ -411,6 +416,7 @@
       Each->Owner->drop(*Each, malformed("a line of the head has no name"));
       return 0;
     }
+    Each->InHead = false;
     long Status = 0;
     curl_easy_getinfo(Each->Easy, CURLINFO_RESPONSE_CODE, &Status);
     if (!isValidStatus(static_cast<int>(Status))) {
--- a/src/http/tests/brokenanswertest.cpp
+++ b/src/http/tests/brokenanswertest.cpp
@@ -87,7 +87,8 @@
        {"Content-Length : 5", "Content-Length : 2",
         "Transfer-Encoding : chunked", "X-Case Mark: 1", "X-Case-Mark : 1",
         " X-Case-Mark: 1", "X-Case-Mark\t: 1", "X-\x01Mark: 1", "X-\x7fMark: 1",
-        "X-\xe9Mark: 1", "X-(Mark): 1", ": 1", "no colon"}) {
+        "X-\xe9Mark: 1", "X-(Mark): 1", ": 1", "no colon", "HTTP/1.1: 1",
+        "HTTP/1.1 200 OK"}) {
     this->askForBytes("HTTP/1.1 200 OK\r\n" + std::string(Line) +
                       "\r\nContent-Length: 5\r\n\r\nhello");
     this->expectNoAnswer(Line);
