Sent lines say how old the proofs of catalog and targets are

A late request could not be traced to its cause from the lines of its instance: sent said which version and which list it went by, but not when these were last known to be the newest. It has catalog_proven_ms_ago and targets_proven_ms_ago now.

--- a/src/control/trafficport.h
+++ b/src/control/trafficport.h
@@ -20,6 +20,9 @@
   /// newest.
   virtual void setCatalogProven(base::TimePoint At) = 0;
   virtual void setTargets(catalog::TargetListPtr New) = 0;
+  /// Sets the latest time at which the list of targets is known to have been
+  /// the newest.
+  virtual void setTargetsProven(base::TimePoint At) = 0;
   virtual void setInstances(unsigned Count) = 0;
   virtual void
   setHeld(catalog::SharedHeldStatesPtr Held,
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -115,6 +115,8 @@
   /// The catalog was the newest one at this time.
   virtual void setCatalogProven(base::TimePoint At) = 0;
   virtual void setTargets(catalog::TargetListPtr New) = 0;
+  /// The list of targets was the newest one at this time.
+  virtual void setTargetsProven(base::TimePoint At) = 0;
   virtual void setInstances(unsigned Count) = 0;
   virtual void setHeld(catalog::SharedHeldStatesPtr Held,
                        base::TimePoint Until) = 0;
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -508,8 +508,12 @@
              {"attempt", Current},
              {"waited_ms", base::millisOf(Now - this->ReceivedAt)},
              {"catalog", this->Catalog->Version.Value},
+             {"catalog_proven_ms_ago",
+              base::millisOf(Now - this->Context.CatalogProvenAt)},
              {"targets", this->Context.Targets->Revision},
              {"targets_age_ms", base::millisOf(Now - this->Context.TargetsAt)},
+             {"targets_proven_ms_ago",
+              base::millisOf(Now - this->Context.TargetsProvenAt)},
              {"heard_ms_ago", base::millisOf(Now - Listed->ReadAt)}});
   this->AnswerTimed = false;
   this->SentAs = {
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -102,6 +102,10 @@
     this->Context.CatalogProvenAt = At;
   }
 
+  void setTargetsProven(base::TimePoint At) override {
+    this->Context.TargetsProvenAt = At;
+  }
+
   void setTargets(catalog::TargetListPtr New) override {
     this->Context.Targets = New;
     std::erase_if(this->Context.UnreadableLoads, [&New](const auto &Each) {
--- a/src/forwarding/internal/trafficcontext.h
+++ b/src/forwarding/internal/trafficcontext.h
@@ -92,6 +92,8 @@
   base::TimePoint CatalogProvenAt;
   catalog::TargetListPtr Targets;
   base::TimePoint TargetsAt;
+  /// The last time at which the list of targets was known to be the newest.
+  base::TimePoint TargetsProvenAt;
 
   admission::FairQueue Queue;
   std::map<base::RequestId, std::shared_ptr<Exchange>> Waiting;
--- a/src/instance/internal/trafficthread.cpp
+++ b/src/instance/internal/trafficthread.cpp
@@ -116,6 +116,10 @@
   });
 }
 
+void TrafficThread::setTargetsProven(base::TimePoint At) {
+  asio::post(this->Loop, [this, At] { this->Forwarder->setTargetsProven(At); });
+}
+
 void TrafficThread::setInstances(unsigned Count) {
   asio::post(this->Loop,
              [this, Count] { this->Forwarder->setInstances(Count); });
--- a/src/instance/internal/trafficthread.h
+++ b/src/instance/internal/trafficthread.h
@@ -36,6 +36,7 @@
 
   void setCatalog(catalog::CatalogPtr New) override;
   void setCatalogProven(base::TimePoint At) override;
+  void setTargetsProven(base::TimePoint At) override;
   void setTargets(catalog::TargetListPtr New) override;
   void setInstances(unsigned Count) override;
   void setHeld(catalog::SharedHeldStatesPtr Held,
