Targets: what makes a removal doubtful is that targets could not write

Callers reached targets up to 3.3 s after their removal had been acknowledged (bound 3.0 s). Any failed call of an instance, of whatever kind and however long ago it was asked, had it doubt removals for 2.6 s, and as the lease holder it passed its doubt on as its list. But a store that turns one instance away goes on to serve the targets, and what it removes is gone.

What the holder has read is no longer doubted by those that hear of it. compare() finds targets on which an instance that has read for itself and the holder differ: a deferred removal there was never taken back, as the rewritten entry is no change to the holder.

--- a/src/catalog/internal/targettable.cpp
+++ b/src/catalog/internal/targettable.cpp
@@ -1,5 +1,6 @@
 #include "catalog/targettable.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace kingcuphub::catalog {
@@ -26,13 +27,22 @@
   return "changed";
 }
 
-void TargetTable::recordChange(TargetChange::Kind What, const Target &Changed) {
+std::string_view toldByName(std::optional<ToldBy> By) {
+  if (!By)
+    return "time";
+  return *By == ToldBy::Store ? "store" : "holder";
+}
+
+void TargetTable::recordChange(TargetChange::Kind What, const Target &Changed,
+                               std::optional<ToldBy> By) {
   this->Changes.push_back(
-      {What, Changed.Entry.Id, Changed.Entry.Lifetime, Changed.Entry.Zone});
+      {What, Changed.Entry.Id, Changed.Entry.Lifetime, Changed.Entry.Zone, By});
   this->PublishedList.reset();
 }
 
-void TargetTable::onOutage(base::TimePoint Now) { this->LastOutage = Now; }
+void TargetTable::onOutage(base::TimePoint At) {
+  this->LastOutage = std::max(this->LastOutage.value_or(At), At);
+}
 
 bool TargetTable::isOutdated(const TargetEntry &Entry) const {
   auto Found = this->LatestHeartbeats.find(Entry.Id);
@@ -43,10 +53,11 @@
   return Entry.Beat <= Found->second.Beat;
 }
 
-void TargetTable::onEntry(const TargetEntry &Entry, base::TimePoint Now) {
+void TargetTable::onEntry(const TargetEntry &Entry, base::TimePoint Now,
+                          ToldBy By) {
   if (this->isOutdated(Entry))
     return;
-  this->LatestHeartbeats[Entry.Id] = {Entry.Lifetime, Entry.Beat};
+  this->LatestHeartbeats[Entry.Id] = {Entry.Lifetime, Entry.Beat, std::nullopt};
   this->DeferredRemovals.erase(Entry.Id);
   Target New;
   New.Entry = Entry;
@@ -56,9 +67,9 @@
     New.EndsAt = Now + *Entry.TimeLeft;
   auto [At, Added] = this->Current.Targets.try_emplace(Entry.Id, New);
   if (Added) {
-    this->recordChange(TargetChange::Kind::Added, New);
+    this->recordChange(TargetChange::Kind::Added, New, By);
     if (Entry.Leaving)
-      this->recordChange(TargetChange::Kind::Leaving, New);
+      this->recordChange(TargetChange::Kind::Leaving, New, By);
     return;
   }
   Target Old = std::exchange(At->second, New);
@@ -69,27 +80,31 @@
     At->second.EndsAt = Old.EndsAt;
   this->PublishedList.reset();
   if (!SameLifetime)
-    this->recordChange(TargetChange::Kind::Restarted, New);
+    this->recordChange(TargetChange::Kind::Restarted, New, By);
   if (At->second.Entry.Leaving && (!SameLifetime || !Old.Entry.Leaving))
-    this->recordChange(TargetChange::Kind::Leaving, New);
+    this->recordChange(TargetChange::Kind::Leaving, New, By);
   if (New.ColdUntil > Now && Old.ColdUntil <= Now)
-    this->recordChange(TargetChange::Kind::TurnedCold, New);
+    this->recordChange(TargetChange::Kind::TurnedCold, New, By);
 }
 
-void TargetTable::onRemoved(const base::TargetId &Id, base::TimePoint Now) {
+void TargetTable::onRemoved(const base::TargetId &Id, base::TimePoint Now,
+                            ToldBy By) {
   auto Found = this->Current.Targets.find(Id);
   if (Found == this->Current.Targets.end())
     return;
   bool DuringGrace =
       this->LastOutage && Now < *this->LastOutage + this->Settings.RemovalGrace;
-  if (!DuringGrace || Found->second.Entry.Leaving) {
-    this->remove(Id);
+  bool MayHaveLapsed =
+      By == ToldBy::Store && DuringGrace && !Found->second.Entry.Leaving;
+  if (!MayHaveLapsed) {
+    this->remove(Id, Now, By);
     return;
   }
-  auto [At, New] = this->DeferredRemovals.try_emplace(
-      Id, *this->LastOutage + this->Settings.RemovalGrace);
-  if (New)
-    this->recordChange(TargetChange::Kind::RemovalDeferred, Found->second);
+  base::TimePoint Due = *this->LastOutage + this->Settings.RemovalGrace;
+  if (!this->DeferredRemovals.try_emplace(Id, DeferredRemoval{Now, Due}).second)
+    return;
+  this->recordChange(TargetChange::Kind::RemovalDeferred, Found->second, By);
+  this->Changes.back().DueAt = Due;
 }
 
 void TargetTable::onCompleteList(const std::vector<TargetEntry> &Entries,
@@ -107,40 +122,85 @@
     this->onRemoved(Id, Now);
 }
 
-void TargetTable::remove(const base::TargetId &Id) {
+void TargetTable::remove(const base::TargetId &Id, base::TimePoint Now,
+                         std::optional<ToldBy> By) {
   this->DeferredRemovals.erase(Id);
   auto Found = this->Current.Targets.find(Id);
   if (Found == this->Current.Targets.end())
     return;
-  this->recordChange(TargetChange::Kind::Removed, Found->second);
+  this->LatestHeartbeats[Id].RemovedAt = Now;
+  this->recordChange(TargetChange::Kind::Removed, Found->second, By);
   this->Current.Targets.erase(Found);
 }
 
+void TargetTable::compare(const std::vector<const Target *> &Listed,
+                          base::TimePoint AsOf, base::TimePoint Now) {
+  std::vector<base::TargetId> Absent;
+  auto Next = Listed.begin();
+  for (const auto &[Id, Each] : this->Current.Targets) {
+    while (Next != Listed.end() && (*Next)->Entry.Id < Id)
+      ++Next;
+    bool IsListed = Next != Listed.end() && (*Next)->Entry.Id == Id;
+    if (!IsListed && Each.ReadAt < AsOf)
+      Absent.push_back(Id);
+  }
+  for (const base::TargetId &Id : Absent)
+    this->remove(Id, Now, ToldBy::Holder);
+  for (const Target *Each : Listed) {
+    auto Deferred = this->DeferredRemovals.find(Each->Entry.Id);
+    if (Deferred != this->DeferredRemovals.end() &&
+        Deferred->second.Since < AsOf)
+      this->DeferredRemovals.erase(Deferred);
+    if (this->Current.Targets.count(Each->Entry.Id) != 0)
+      continue;
+    auto Known = this->LatestHeartbeats.find(Each->Entry.Id);
+    bool MissedSince = Known != this->LatestHeartbeats.end() &&
+                       Known->second.Lifetime <= Each->Entry.Lifetime &&
+                       Known->second.RemovedAt &&
+                       *Known->second.RemovedAt < AsOf;
+    if (MissedSince)
+      this->restore(*Each);
+  }
+}
+
+/// Lists a target again that has been rewritten without another change.
+void TargetTable::restore(const Target &Listed) {
+  Target New = Listed;
+  New.ColdUntil = New.ReadAt + New.Entry.ColdFor;
+  if (New.Entry.TimeLeft)
+    New.EndsAt = New.ReadAt + *New.Entry.TimeLeft;
+  this->LatestHeartbeats[New.Entry.Id].RemovedAt.reset();
+  this->Current.Targets.emplace(New.Entry.Id, New);
+  this->recordChange(TargetChange::Kind::Added, New, ToldBy::Holder);
+}
+
 void TargetTable::setZonesOut(std::set<base::ZoneId> Zones) {
   if (Zones == this->Current.ZonesOut)
     return;
   for (const base::ZoneId &Each : Zones)
     if (this->Current.ZonesOut.count(Each) == 0)
-      this->Changes.push_back({TargetChange::Kind::ZoneOut, {}, {}, Each});
+      this->Changes.push_back(
+          {TargetChange::Kind::ZoneOut, {}, {}, Each, ToldBy::Store});
   for (const base::ZoneId &Each : this->Current.ZonesOut)
     if (Zones.count(Each) == 0)
-      this->Changes.push_back({TargetChange::Kind::ZoneBack, {}, {}, Each});
+      this->Changes.push_back(
+          {TargetChange::Kind::ZoneBack, {}, {}, Each, ToldBy::Store});
   this->Current.ZonesOut = std::move(Zones);
   this->PublishedList.reset();
 }
 
 void TargetTable::tick(base::TimePoint Now) {
   std::vector<base::TargetId> Expired;
-  for (const auto &[Id, Until] : this->DeferredRemovals)
-    if (Now >= Until)
+  for (const auto &[Id, Each] : this->DeferredRemovals)
+    if (Now >= Each.Due)
       Expired.push_back(Id);
   for (const base::TargetId &Id : Expired)
-    this->remove(Id);
+    this->remove(Id, Now, std::nullopt);
   for (const auto &[Id, Each] : this->Current.Targets)
     if (Each.EndsAt && *Each.EndsAt <= Now)
       Expired.push_back(Id);
   for (const base::TargetId &Id : Expired)
-    this->remove(Id);
+    this->remove(Id, Now, std::nullopt);
 }
 
 TargetListPtr TargetTable::list() {
--- a/src/catalog/targettable.h
+++ b/src/catalog/targettable.h
@@ -3,8 +3,9 @@
 
 /// \file
 /// Maintains the list of targets from the heartbeats and removals that are read
-/// from the platform. Heartbeats of earlier lifetimes and heartbeats that
-/// arrive out of order are ignored. Does no I/O and reads no clock.
+/// from the platform, by this instance or by the lease holder. Heartbeats of
+/// earlier lifetimes and heartbeats that arrive out of order are ignored. Does
+/// no I/O and reads no clock.
 
 #include "catalog/target.h"
 
@@ -13,6 +14,15 @@
 
 namespace kingcuphub::catalog {
 
+/// Who has read what is applied to the list.
+enum class ToldBy {
+  /// This instance has read it from the platform's store. Entries may have
+  /// lapsed around an outage.
+  Store,
+  /// The lease holder has, and has decided which entries are gone.
+  Holder,
+};
+
 /// A change to the list of targets, for the log.
 struct TargetChange {
   enum class Kind {
@@ -31,29 +41,41 @@
   base::TargetId Target;
   catalog::Lifetime Lifetime;
   base::ZoneId Zone;
+  /// None if it was due by time.
+  std::optional<ToldBy> By;
+  /// When a deferred removal takes effect.
+  std::optional<base::TimePoint> DueAt{};
 };
 
 std::string_view targetChangeName(TargetChange::Kind What);
+/// "time" where nobody told.
+std::string_view toldByName(std::optional<ToldBy> By);
 
 struct TargetTableSettings {
   /// How long after an outage removals are deferred. Entries that expired in an
   /// outage of the platform's store are rewritten within two seconds of its
   /// return; the remaining time allows for reading them.
-  base::Duration RemovalGrace = std::chrono::milliseconds(2600);
+  base::Duration RemovalGrace = std::chrono::milliseconds(2400);
 };
 
 class TargetTable {
 public:
   explicit TargetTable(TargetTableSettings Settings) : Settings(Settings) {}
 
-  /// Records that the platform could not be read at \p Now.
-  void onOutage(base::TimePoint Now);
-  void onEntry(const TargetEntry &Entry, base::TimePoint Now);
-  void onRemoved(const base::TargetId &Id, base::TimePoint Now);
+  /// Handles that targets may not have been able to write until \p At.
+  void onOutage(base::TimePoint At);
+  void onEntry(const TargetEntry &Entry, base::TimePoint Now,
+               ToldBy By = ToldBy::Store);
+  void onRemoved(const base::TargetId &Id, base::TimePoint Now,
+                 ToldBy By = ToldBy::Store);
   /// Takes the platform's complete list; targets missing from it are treated
   /// as removed.
   void onCompleteList(const std::vector<TargetEntry> &Entries,
                       base::TimePoint Now);
+  /// Compares with all targets that the holder lists, sorted by id, as it read
+  /// them at \p AsOf. What this instance has read later stays.
+  void compare(const std::vector<const Target *> &Listed, base::TimePoint AsOf,
+               base::TimePoint Now);
   void setZonesOut(std::set<base::ZoneId> Zones);
   /// Removes targets whose deferred removal is due or whose lifetime has ended.
   void tick(base::TimePoint Now);
@@ -67,11 +89,20 @@
   struct LatestHeartbeat {
     catalog::Lifetime Lifetime;
     std::uint64_t Beat = 0;
+    /// When it was removed from the list, if it was.
+    std::optional<base::TimePoint> RemovedAt;
+  };
+  struct DeferredRemoval {
+    base::TimePoint Since;
+    base::TimePoint Due;
   };
 
-  void recordChange(TargetChange::Kind What, const Target &Changed);
+  void recordChange(TargetChange::Kind What, const Target &Changed,
+                    std::optional<ToldBy> By);
   bool isOutdated(const TargetEntry &Entry) const;
-  void remove(const base::TargetId &Id);
+  void remove(const base::TargetId &Id, base::TimePoint Now,
+              std::optional<ToldBy> By);
+  void restore(const Target &Listed);
 
   TargetTableSettings Settings;
   TargetList Current;
@@ -79,8 +110,7 @@
   std::vector<TargetChange> Changes;
   /// The latest heartbeat of each target, including removed ones.
   std::map<base::TargetId, LatestHeartbeat> LatestHeartbeats;
-  /// Targets whose removal is deferred, and the time at which it takes effect.
-  std::map<base::TargetId, base::TimePoint> DeferredRemovals;
+  std::map<base::TargetId, DeferredRemoval> DeferredRemovals;
   std::optional<base::TimePoint> LastOutage;
 };
 
--- a/src/catalog/tests/targettabletest.cpp
+++ b/src/catalog/tests/targettabletest.cpp
@@ -120,3 +120,51 @@
   Table.onCompleteList({}, Start);
   EXPECT_EQ(find(Table), nullptr);
 }
+
+/// An instance that could not reach the store for a moment does not doubt what
+/// the holder has read.
+TEST(TargetTableTest, RemovalByTheHolderIsNotDeferred) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 1), Start);
+  Table.onOutage(Start);
+  Table.onRemoved({"t"}, Start, ToldBy::Holder);
+  EXPECT_EQ(find(Table), nullptr);
+}
+
+/// The entry was rewritten after this instance had stopped reading the list.
+TEST(TargetTableTest, TargetThatTheHolderListsOutlivesTheDeferral) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 1), Start);
+  Target Listed = *find(Table);
+  Table.onOutage(Start);
+  Table.onRemoved({"t"}, Start + milliseconds(100));
+  // As the holder had read it before.
+  Table.compare({&Listed}, Start + milliseconds(50), Start + milliseconds(500));
+  Table.compare({&Listed}, Start + milliseconds(900),
+                Start + milliseconds(1200));
+  Table.tick(Start + milliseconds(5000));
+  EXPECT_NE(find(Table), nullptr);
+}
+
+/// To the holder nothing has changed, so that its deltas do not tell.
+TEST(TargetTableTest, TargetThatTheHolderListsLaterComesBack) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 7), Start);
+  Target Listed = *find(Table);
+  Table.onRemoved({"t"}, Start + milliseconds(100));
+  Table.compare({&Listed}, Start + milliseconds(50), Start + milliseconds(500));
+  EXPECT_EQ(find(Table), nullptr);
+  Table.compare({&Listed}, Start + milliseconds(900),
+                Start + milliseconds(1200));
+  EXPECT_NE(find(Table), nullptr);
+}
+
+TEST(TargetTableTest, TargetThatTheHolderNoLongerListsGoes) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 1), Start);
+  // Read by this instance after the holder's list.
+  Table.compare({}, Start - milliseconds(100), Start + milliseconds(100));
+  EXPECT_NE(find(Table), nullptr);
+  Table.compare({}, Start + milliseconds(100), Start + milliseconds(300));
+  EXPECT_EQ(find(Table), nullptr);
+}
