Control: every instance proves for itself what the holder can't prove in time

Callers were served by dropped routes and withdrawn keys, in zones that were out, and by targets that had left, later than the bounds allow. The cause is one: an instance went by another's word, or by an answer that never came, without knowing how old that was.

- A read counts from when the store was asked, not from its answer; pages that stop before the end of the log prove nothing.
- The holder tells how far it has read the operator's log, in place of the catalog's version: zones go by the same word, and an instance that is behind finds out between two replies.
- target-change says by whom and until when a removal is deferred, catalog how old the proof of the one before was and since when others knew, target-list-source whose list counts.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -8,7 +8,9 @@
 /// the thread that runs the loop.
 
 #include "base/clock.h"
+#include "catalog/targetoutage.h"
 #include "catalog/targettable.h"
+#include "control/changebounds.h"
 #include "control/controlstore.h"
 #include "control/trafficport.h"
 #include "dispatch/usagepool.h"
@@ -36,6 +38,8 @@
   residency::HolderSettings Holder;
   dispatch::UsagePoolSettings Usage;
   catalog::TargetTableSettings Targets;
+  catalog::TargetOutageSettings Outages;
+  ChangeBounds Bounds;
   pacing::TargetLearnerSettings Learner;
   overload::AdmissionControllerSettings Admission;
   /// Set if the use of each window is reported to the platform.
@@ -78,10 +82,6 @@
   /// us and 61 instances broadcasts were 61% of 4,300 messages a second, and
   /// the holder fell behind.
   std::chrono::microseconds PublishTimePerInstance{500};
-  /// Maximum age of the holder's list of targets; with an older one, the
-  /// platform's own list is read. Reading takes up to a second, so that a
-  /// leaving target is known within three.
-  std::chrono::milliseconds ListedValidFor{2000};
   /// A lapsed lease is given up unless a late renewal restores it within this
   /// time.
   std::chrono::milliseconds GiveUpAfter{200};
@@ -96,13 +96,9 @@
   /// An instance that was silent for this long no longer counts when limits are
   /// split.
   std::chrono::milliseconds InstanceTimeout{60000};
-  /// How long the store may hold a request for a newer catalog: for the holder,
-  /// whose answers confirm to the others that their catalog is the newest; for
-  /// an instance with a responding holder, which also reports newer versions;
-  /// and for an instance without one.
-  std::chrono::milliseconds CatalogWaitAsHolder{500};
+  /// How long the store may hold a request for a newer catalog of an instance
+  /// whose catalog the holder confirms.
   std::chrono::milliseconds CatalogWaitWithHolder{12000};
-  std::chrono::milliseconds CatalogWaitWithoutHolder{1000};
   /// Time in which a new holder receives reports from all instances; until then
   /// it uses the count of the previous holder.
   std::chrono::milliseconds InstanceCountDelay{2000};
--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -5,6 +5,7 @@
 /// Interfaces to the platform's store and to the engines. All calls and
 /// callbacks happen on the control loop's thread.
 
+#include "base/clock.h"
 #include "base/error.h"
 #include "catalog/target.h"
 #include "duties/targetscaler.h"
@@ -25,22 +26,50 @@
 };
 using TargetUpdate = std::variant<catalog::TargetEntry, TargetRemoved>;
 
+/// A position in one of the store's logs: its era and the offset in it. A later
+/// one is larger.
+using StorePosition = base::NumberId<struct StorePositionTag>;
+
+constexpr StorePosition storePosition(std::uint64_t Era, std::uint64_t Offset) {
+  return {residency::logPosition(Era, Offset).Value};
+}
+
+/// An answered read of one of the store's logs.
+struct StoreRead {
+  /// When the store was asked: what it had acknowledged by then is included, if
+  /// the read is UpToDate.
+  base::TimePoint AskedAt;
+  /// The position behind the last record that was read.
+  StorePosition Through;
+  /// Whether the log ended there.
+  bool UpToDate = true;
+};
+
+struct TargetRead {
+  StoreRead Read;
+  /// Whether the updates are the complete list of targets.
+  bool Whole = false;
+};
+
 /// Whether reads of one kind succeed.
 struct StoreHealth {
   std::string_view Reading;
   bool Reachable = true;
   std::string Detail;
+  /// The latest time at which the store is known not to have served this
+  /// instance: when it failed a call, or when it was asked if it never
+  /// answered.
+  base::TimePoint FailedAt{};
 };
 
 struct StoreEvents {
   std::function<void(catalog::CatalogPtr)> OnCatalog;
-  /// Called when the store is asked for a newer catalog, and when it has
-  /// answered. A catalog in the answer is passed to OnCatalog before.
-  std::function<void()> OnCatalogAsked;
-  std::function<void()> OnCatalogAnswered;
   std::function<void(std::set<base::ZoneId>)> OnZonesOut;
-  /// If \p Whole, the updates are the complete list of targets.
-  std::function<void(const std::vector<TargetUpdate> &, bool Whole)> OnTargets;
+  /// Called for each answered read of catalog and zones. What it brought is
+  /// passed to OnCatalog and OnZonesOut before.
+  std::function<void(const StoreRead &)> OnOperatorRead;
+  std::function<void(const std::vector<TargetUpdate> &, const TargetRead &)>
+      OnTargets;
   std::function<void(const std::optional<residency::LeaseRecord> &,
                      residency::LeaseLogEnd)>
       OnLease;
@@ -67,9 +96,12 @@
   virtual void start(StoreEvents Events) = 0;
   /// Sets whether to follow the lease record. The holder itself knows it.
   virtual void followLease(bool Follow) = 0;
-  /// Reads catalog and zones again.
-  virtual void readCatalogAgain() = 0;
-  /// Sets how long the store may hold a request for a newer catalog.
+  /// Reads what is new of catalog and zones at once, without waiting for a
+  /// request that the store holds. Does nothing while such a read is under way
+  /// or about to be repeated.
+  virtual void readCatalogNow() = 0;
+  /// Sets how long the store may hold a request for a newer catalog. If that is
+  /// shorter than before, it is read at once.
   virtual void setCatalogWait(std::chrono::milliseconds Wait) = 0;
   /// Sets whether to follow the list of targets. Not needed while the holder
   /// sends it.
--- a/src/control/internal/cataloglag.h
+++ b/src/control/internal/cataloglag.h
@@ -2,16 +2,16 @@
 #define KINGCUPHUB_CONTROL_INTERNAL_CATALOGLAG_H
 
 /// \file
-/// Detects that this instance's catalog lags behind that of others.
+/// Detects that this instance's catalog and zones lag behind those of others.
 ///
 /// Load pattern: the operator changes the configuration several times while
 /// some instances cannot reach the store, and one of them waits for a call that
-/// the store never completes. Instances and the holder tell each other the
-/// versions they have; an instance that lags for longer than a change takes to
-/// propagate reads the catalog again. No I/O and no clock.
+/// the store never completes. Instances and the holder tell each other how far
+/// they have read the operator's log; an instance that lags for longer than a
+/// change takes to propagate reads at once. No I/O and no clock.
 
 #include "base/clock.h"
-#include "catalog/catalog.h"
+#include "control/controlstore.h"
 
 #include <algorithm>
 #include <optional>
@@ -30,17 +30,17 @@
 public:
   explicit CatalogLag(CatalogLagSettings Settings = {}) : Settings(Settings) {}
 
-  /// Handles that another instance has \p ReportedVersion while this one has
-  /// \p OwnVersion; returns whether to read the catalog again.
-  bool onReportedVersion(catalog::Version ReportedVersion,
-                         catalog::Version OwnVersion, base::TimePoint Now) {
-    if (ReportedVersion <= OwnVersion) {
+  /// Handles that another instance has read through \p Reported and this one
+  /// through \p Own; returns whether to read at once.
+  bool onReported(StorePosition Reported, StorePosition Own,
+                  base::TimePoint Now) {
+    if (Reported <= Own) {
       // Reports of other instances that lag as well say nothing.
-      if (OwnVersion >= this->Newest)
+      if (Own >= this->Newest)
         this->BehindSince.reset();
       return false;
     }
-    this->Newest = std::max(this->Newest, ReportedVersion);
+    this->Newest = std::max(this->Newest, Reported);
     if (!this->BehindSince)
       this->BehindSince = Now;
     bool Due =
@@ -51,9 +51,14 @@
     return Due;
   }
 
+  /// Returns whether to read at once by what was reported before.
+  bool isDue(StorePosition Own, base::TimePoint Now) {
+    return this->onReported(this->Newest, Own, Now);
+  }
+
 private:
   CatalogLagSettings Settings;
-  catalog::Version Newest;
+  StorePosition Newest;
   std::optional<base::TimePoint> BehindSince;
   std::optional<base::TimePoint> ReadAt;
 };
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -35,7 +35,7 @@
               DutyClient *Duties)
       : Settings(std::move(NewSettings)), Store(Store), Messages(Messages),
         Traffic(Traffic), Clock(Clock), Metrics(Metrics),
-        Table(this->Settings.Targets),
+        Table(this->Settings.Targets), Outages(this->Settings.Outages),
         Lease(this->Settings.Self, this->Settings.Incarnation,
               this->Settings.LinkEndpoint, this->Settings.Lease,
               std::random_device{}(), this->Clock.now()),
@@ -48,10 +48,8 @@
   ~ControlImpl() override { *this->Alive = false; }
 
   void start() override {
-    this->Role.onReportedCatalogVersion(
-        [this](catalog::Version ReportedVersion) {
-          this->onReportedCatalogVersion(ReportedVersion);
-        });
+    this->Role.onReportedPosition(
+        [this](StorePosition Reported) { this->onReportedPosition(Reported); });
     if (auto Listening = this->Role.listen(this->Messages); !Listening)
       base::logEvent(base::LogLevel::Error, "link-not-listening",
                      {{"why", Listening.error().Message}});
@@ -59,18 +57,17 @@
     Events.OnCatalog = [this](catalog::CatalogPtr New) {
       this->onCatalog(std::move(New));
     };
-    Events.OnCatalogAsked = [this] { this->Proof.onAsked(this->Clock.now()); };
-    Events.OnCatalogAnswered = [this] {
-      this->Proof.onAnswered();
+    Events.OnOperatorRead = [this](const StoreRead &Read) {
+      this->Proof.onRead(Read);
+      this->OthersKnewAt.reset();
       this->publishProof();
     };
     Events.OnZonesOut = [this](std::set<base::ZoneId> Zones) {
       this->Table.setZonesOut(std::move(Zones));
       this->publishTargets();
     };
-    Events.OnTargets = [this](const auto &Updates, bool Whole) {
-      this->Role.onTargetsRead();
-      this->onTargets(Updates, Whole);
+    Events.OnTargets = [this](const auto &Updates, const TargetRead &Got) {
+      this->onTargetsRead(Updates, Got);
     };
     Events.OnLease = [this](const auto &Record, residency::LeaseLogEnd End) {
       this->onLease(Record, End);
@@ -144,10 +141,13 @@
     // The version never decreases while the process runs.
     if (this->Catalog && New->Version <= this->Catalog->Version)
       return;
+    base::TimePoint Now = this->Clock.now();
     base::logEvent(
         base::LogLevel::Info, "catalog",
         {{"version", New->Version.Value},
          {"before", this->Catalog ? this->Catalog->Version.Value : 0},
+         {"before_proven_ms_ago", this->ageOf(this->Proof.provenAt(), Now)},
+         {"others_knew_ms_ago", this->ageOf(this->OthersKnewAt, Now)},
          {"routes", New->Routes.size()},
          {"accounts", New->Accounts.size()}});
     this->logAccounts(*New);
@@ -176,30 +176,31 @@
     }
   }
 
-  catalog::Version catalogVersion() const {
-    return this->Catalog ? this->Catalog->Version : catalog::Version{};
+  /// In milliseconds, -1 if there is no such time.
+  static std::int64_t ageOf(std::optional<base::TimePoint> At,
+                            base::TimePoint Now) {
+    return At && *At != base::TimePoint{} ? base::millisOf(Now - *At) : -1;
   }
 
   void publishProof() {
-    if (std::exchange(this->PublishedProof, this->Proof.provenAt()) ==
+    this->Role.setCatalogProven(this->Proof.own(), this->Proof.provenAt());
+    if (std::exchange(this->PublishedProof, this->Proof.provenAt()) !=
         this->Proof.provenAt())
-      return;
-    this->Role.setCatalogProven(this->Proof.provenAt());
-    this->Traffic.setCatalogProven(this->Proof.provenAt());
+      this->Traffic.setCatalogProven(this->Proof.provenAt());
   }
 
   /// Applies the age of the holder's catalog. It counts from when the report
   /// was sent that the reply answers.
   void applyCatalogProof(const wire::HolderReply &Reply) {
     auto Sent = this->ReportSendTimes.find(Reply.number());
-    bool Fresh = Reply.has_catalog_age_ms() &&
+    bool Fresh = Reply.has_operator_age_ms() &&
                  Sent != this->ReportSendTimes.end() &&
                  !this->Lease.claimedHere();
     if (!Fresh)
       return;
-    this->Proof.onReportedVersion(
-        {Reply.catalog_version()}, this->catalogVersion(),
-        Sent->second - std::chrono::milliseconds(Reply.catalog_age_ms()));
+    this->Proof.onReported(
+        {Reply.operator_position()},
+        Sent->second - std::chrono::milliseconds(Reply.operator_age_ms()));
     this->publishProof();
   }
 
@@ -219,23 +220,47 @@
         std::make_shared<const dispatch::FigureTable>(std::move(*Read)), At);
   }
 
-  /// Handles the catalog version that another instance or the holder has.
-  void onReportedCatalogVersion(catalog::Version ReportedVersion) {
-    catalog::Version OwnVersion = this->catalogVersion();
-    if (ReportedVersion > OwnVersion) {
-      this->Proof.onNewerVersion();
+  /// Handles how far another instance or the holder has read the operator's
+  /// log.
+  void onReportedPosition(StorePosition Reported) {
+    base::TimePoint Now = this->Clock.now();
+    if (Reported > this->Proof.own()) {
+      if (!this->OthersKnewAt)
+        this->OthersKnewAt = Now;
+      this->Proof.onNewer();
       this->publishProof();
     }
-    if (!this->StaleCatalog.onReportedVersion(ReportedVersion, OwnVersion,
-                                              this->Clock.now()))
-      return;
-    base::logEvent(base::LogLevel::Warn, "catalog-behind",
-                   {{"version", OwnVersion.Value},
-                    {"others_know", ReportedVersion.Value}});
-    this->Store.readCatalogAgain();
+    if (this->Lag.onReported(Reported, this->Proof.own(), Now))
+      this->readCatalogNow(Now);
+  }
+
+  void readCatalogNow(base::TimePoint Now) {
+    base::logEvent(
+        base::LogLevel::Warn, "catalog-behind",
+        {{"version", this->Catalog ? this->Catalog->Version.Value : 0},
+         {"position", this->Proof.own().Value},
+         {"others_knew_ms_ago", this->ageOf(this->OthersKnewAt, Now)}});
+    this->Store.readCatalogNow();
+  }
+
+  /// Applies what this instance has read of the platform's list of targets.
+  void onTargetsRead(const std::vector<TargetUpdate> &Updates,
+                     const TargetRead &Got) {
+    if (Got.Read.UpToDate) {
+      this->Role.onTargetsRead(Got.Read);
+      this->Traffic.setTargetsProven(Got.Read.AskedAt);
+    }
+    if (auto Outage = this->Outages.onRead(
+            {Got.Read.AskedAt, Got.Read.Through.Value},
+            this->Table.list()->Targets.size(), this->Clock.now())) {
+      this->Table.onOutage(Outage->At);
+      this->OutageSilence = Outage->Silence;
+    }
+    this->onTargets(Updates, Got.Whole, catalog::ToldBy::Store);
   }
 
-  void onTargets(const std::vector<TargetUpdate> &Updates, bool Whole) {
+  void onTargets(const std::vector<TargetUpdate> &Updates, bool Whole,
+                 catalog::ToldBy By) {
     base::TimePoint Now = this->Clock.now();
     if (Whole) {
       std::vector<catalog::TargetEntry> Entries;
@@ -246,10 +271,10 @@
     } else {
       for (const TargetUpdate &Each : Updates)
         std::visit(base::Visitor{[&](const catalog::TargetEntry &Entry) {
-                                   this->Table.onEntry(Entry, Now);
+                                   this->Table.onEntry(Entry, Now, By);
                                  },
                                  [&](const TargetRemoved &Removed) {
-                                   this->Table.onRemoved(Removed.Id, Now);
+                                   this->Table.onRemoved(Removed.Id, Now, By);
                                  }},
                    Each);
     }
@@ -260,11 +285,7 @@
 
   void publishTargets() {
     for (const catalog::TargetChange &Each : this->Table.takeChanges())
-      base::logEvent(base::LogLevel::Info, "target-change",
-                     {{"what", catalog::targetChangeName(Each.What)},
-                      {"target", Each.Target.Value},
-                      {"lifetime", Each.Lifetime.Value},
-                      {"zone", Each.Zone.Value}});
+      this->logChange(Each);
     catalog::TargetListPtr Now = this->Table.list();
     if (!this->HasTargets || Now == this->PublishedTargets)
       return;
@@ -273,6 +294,21 @@
     this->Traffic.setTargets(std::move(Now));
   }
 
+  void logChange(const catalog::TargetChange &Change) const {
+    nlohmann::json Fields = {{"what", catalog::targetChangeName(Change.What)},
+                             {"target", Change.Target.Value},
+                             {"lifetime", Change.Lifetime.Value},
+                             {"zone", Change.Zone.Value},
+                             {"by", catalog::toldByName(Change.By)}};
+    if (Change.DueAt) {
+      Fields["due_in_ms"] = base::millisOf(*Change.DueAt - this->Clock.now());
+      // Without it, only calls of this instance have failed.
+      if (this->OutageSilence)
+        Fields["targets_silent_ms"] = base::millisOf(*this->OutageSilence);
+    }
+    base::logEvent(base::LogLevel::Info, "target-change", Fields);
+  }
+
   void onLease(const std::optional<residency::LeaseRecord> &Record,
                residency::LeaseLogEnd End) {
     this->Lease.onRead(Record, End, this->Clock.now());
@@ -323,14 +359,30 @@
         !this->Lease.mayReclaim(Now))
       this->Lease.forgetEnd();
     this->HolderSilent = Silent;
+    const ChangeBounds &Bounds = this->Settings.Bounds;
+    bool Confirmed =
+        !Silent && Now <= this->Proof.provenAt() + Bounds.catalogValidFor();
     this->Store.setCatalogWait(
-        this->Lease.claimedHere() ? this->Settings.CatalogWaitAsHolder
-        : Silent                  ? this->Settings.CatalogWaitWithoutHolder
-                                  : this->Settings.CatalogWaitWithHolder);
+        this->Lease.claimedHere() ? Bounds.catalogWaitAsHolder()
+        : Confirmed               ? this->Settings.CatalogWaitWithHolder
+                                  : Bounds.catalogWaitUnconfirmed());
+    if (this->Lag.isDue(this->Proof.own(), Now))
+      this->readCatalogNow(Now);
     this->Store.followLease(Silent || this->Lease.needsRead());
-    this->Store.followTargets(this->Lease.claimedHere() ||
-                              Now > this->ListedAt +
-                                        this->Settings.ListedValidFor);
+    this->followTargets(this->Lease.claimedHere() ||
+                            Now > this->ListedAt + Bounds.listValidFor(),
+                        Now);
+  }
+
+  void followTargets(bool Follow, base::TimePoint Now) {
+    if (std::exchange(this->FollowsTargets, Follow) != Follow)
+      base::logEvent(
+          base::LogLevel::Info, "target-list-source",
+          {{"by", catalog::toldByName(Follow ? catalog::ToldBy::Store
+                                             : catalog::ToldBy::Holder)},
+           {"holder_read_ms_ago", this->ageOf(this->ListedAt, Now)},
+           {"holds_lease", this->Lease.claimedHere()}});
+    this->Store.followTargets(Follow);
   }
 
   /// Applies the list of targets as the holder read it.
@@ -345,7 +397,8 @@
       else
         Updates.emplace_back(TargetRemoved{Id});
     }
-    this->onTargets(Updates, Update.Base == 0);
+    // What a whole list lacks is removed when it is known how old the list is.
+    this->onTargets(Updates, false, catalog::ToldBy::Holder);
   }
 
   /// Updates when the holder last read the list of targets. The reply may have
@@ -362,11 +415,30 @@
         this->ListedAt,
         Sent->second - std::chrono::milliseconds(Reply.listed_age_ms()));
     this->ReportSendTimes.erase(this->ReportSendTimes.begin(), std::next(Sent));
+    if (this->Lease.claimedHere())
+      return;
+    this->Outages.onReported({this->ListedAt, Reply.targets_position()});
+    this->compareWithListed();
+  }
+
+  /// Finds targets on which this instance and the holder differ after both have
+  /// read the list themselves. Its deltas no longer tell of them.
+  void compareWithListed() {
+    base::TimePoint Now = this->Clock.now();
+    if (this->ListedAt < this->ComparedAsOf + this->Settings.ReportInterval)
+      return;
+    this->ComparedAsOf = this->ListedAt;
+    this->Traffic.setTargetsProven(this->ListedAt);
+    std::vector<const catalog::Target *> All;
+    for (const auto &[Id, Each] : this->Listed.values())
+      All.push_back(&Each.Target);
+    this->Table.compare(All, this->ListedAt, Now);
+    this->publishTargets();
   }
 
   void onHealth(const StoreHealth &Health) {
     if (!Health.Reachable)
-      this->Table.onOutage(this->Clock.now());
+      this->Outages.onCallFailed(Health.FailedAt);
     auto [Known, New] =
         this->Reachable.try_emplace(std::string(Health.Reading), true);
     if (Known->second == Health.Reachable)
@@ -557,7 +629,7 @@
     Out.set_number(++this->ReportNumber);
     Out.set_listed_revision(this->Listed.revision());
     Out.set_suspects_revision(this->Suspects.revision());
-    Out.set_catalog_version(this->catalogVersion().Value);
+    Out.set_operator_position(this->Proof.own().Value);
     this->ReportSendTimes[this->ReportNumber] = this->Clock.now();
     if (this->ReportSendTimes.size() > MaxPendingReports)
       this->ReportSendTimes.erase(this->ReportSendTimes.begin());
@@ -593,7 +665,7 @@
     this->HeldToken = Reply.token();
     if (Reply.credit_only())
       return this->Traffic.onCredits(readGrants(Reply));
-    this->onReportedCatalogVersion({Reply.catalog_version()});
+    this->onReportedPosition({Reply.operator_position()});
     this->Lease.onReportedExpiry(
         {Reply.lease_end()}, std::chrono::milliseconds(Reply.lease_left_ms()),
         Now);
@@ -631,9 +703,15 @@
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   catalog::CatalogPtr Catalog;
   catalog::TargetTable Table;
+  catalog::TargetOutageDetector Outages;
+  /// Of the last outage, if it is known.
+  std::optional<base::Duration> OutageSilence;
   catalog::TargetListPtr PublishedTargets;
-  CatalogLag StaleCatalog;
+  CatalogLag Lag;
   CatalogProof Proof;
+  /// When it was first heard that others have read further of the operator's
+  /// log.
+  std::optional<base::TimePoint> OthersKnewAt;
   base::TimePoint PublishedProof;
   bool HasTargets = false;
   residency::HolderLease Lease;
@@ -669,6 +747,8 @@
   base::Duration WallOffset = this->Clock.wallNow().time_since_epoch() -
                               this->Clock.now().time_since_epoch();
   base::TimePoint ListedAt;
+  base::TimePoint ComparedAsOf;
+  bool FollowsTargets = false;
   /// When the latest reports were sent, by report number.
   std::map<std::uint64_t, base::TimePoint> ReportSendTimes;
 };
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -194,8 +194,8 @@
   Sender.HeardAt = Now;
   Sender.Handicap = std::chrono::milliseconds(Report.claim_handicap_ms());
   this->Clients[From] = Now;
-  if (this->OnCatalogVersion)
-    this->OnCatalogVersion({Report.catalog_version()});
+  if (this->OnReportedPosition)
+    this->OnReportedPosition({Report.operator_position()});
   this->Lease.onUnsettledOrders({Instance, {Report.incarnation()}},
                                 readUnsettled(Report.unsettled()), Now);
   this->Holder.onUse(Instance, readItems(Report), Now);
@@ -524,14 +524,15 @@
       static_cast<std::uint32_t>(this->Lease.timeLeft(Now).count()));
   Out.set_held_revision(this->Held.revision());
   Out.set_listed_revision(this->Listed.revision());
-  if (this->Catalog)
-    Out.set_catalog_version(this->Catalog->Version.Value);
+  Out.set_operator_position(this->CatalogThrough.Value);
   if (this->CatalogProvenAt != base::TimePoint{})
-    Out.set_catalog_age_ms(static_cast<std::uint32_t>(
+    Out.set_operator_age_ms(static_cast<std::uint32_t>(
         base::millisOf(Now - this->CatalogProvenAt)));
-  if (this->TargetsReadAt)
-    Out.set_listed_age_ms(
-        static_cast<std::uint32_t>(base::millisOf(Now - *this->TargetsReadAt)));
+  if (this->TargetsRead) {
+    Out.set_targets_position(this->TargetsRead->Through.Value);
+    Out.set_listed_age_ms(static_cast<std::uint32_t>(
+        base::millisOf(Now - this->TargetsRead->AskedAt)));
+  }
   return Out;
 }
 
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -7,6 +7,7 @@
 /// instances what engines hold.
 
 #include "control/control.h"
+#include "control/controlstore.h"
 #include "dispatch/crashcorrelator.h"
 #include "linkmessages.h"
 #include "pacing/targetlearner.h"
@@ -30,15 +31,18 @@
   base::Result<void> listen(messaging::Messaging &Messages);
   void setCatalog(const catalog::CatalogPtr &New);
   void setTargets(const catalog::TargetListPtr &New);
-  /// Sets the handler for the catalog versions that instances report.
-  void onReportedCatalogVersion(std::function<void(catalog::Version)> Handler) {
-    this->OnCatalogVersion = std::move(Handler);
+  /// Sets the handler for how far instances have read the operator's log.
+  void onReportedPosition(std::function<void(StorePosition)> Handler) {
+    this->OnReportedPosition = std::move(Handler);
+  }
+  /// Sets how far the operator's log has been read, and the latest time at
+  /// which that is known to have been its end.
+  void setCatalogProven(StorePosition Through, base::TimePoint At) {
+    this->CatalogThrough = Through;
+    this->CatalogProvenAt = At;
   }
-  /// Sets the latest time at which the catalog is known to have been the
-  /// newest.
-  void setCatalogProven(base::TimePoint At) { this->CatalogProvenAt = At; }
   /// Handles that the platform's list of targets was read, changed or not.
-  void onTargetsRead() { this->TargetsReadAt = this->Clock.now(); }
+  void onTargetsRead(const StoreRead &Read) { this->TargetsRead = Read; }
   /// Applies the state of the lease; must be called whenever it may have
   /// changed.
   void checkLease();
@@ -147,7 +151,7 @@
   std::optional<residency::FencingToken> UsageToken;
   catalog::CatalogPtr Catalog;
   catalog::TargetListPtr Targets;
-  std::function<void(catalog::Version)> OnCatalogVersion;
+  std::function<void(StorePosition)> OnReportedPosition;
   std::unique_ptr<messaging::MessageServer> Server;
   std::optional<residency::FencingToken> Token;
   base::TimePoint HeldSince;
@@ -176,7 +180,8 @@
   dispatch::SuspectParts LeftQuarantined;
   UsageReporter Reporter;
   ScalingDuty Scaling;
-  std::optional<base::TimePoint> TargetsReadAt;
+  std::optional<StoreRead> TargetsRead;
+  StorePosition CatalogThrough;
   base::TimePoint CatalogProvenAt;
   asio::steady_timer PlanTimer;
   base::TimePoint NextPlanAt;
--- a/src/control/tests/catalogprooftest.cpp
+++ b/src/control/tests/catalogprooftest.cpp
@@ -9,36 +9,45 @@
 namespace {
 
 constexpr base::TimePoint Start{std::chrono::hours(1)};
-constexpr catalog::Version Old{3};
-constexpr catalog::Version New{7};
+constexpr StorePosition Old{3};
+constexpr StorePosition New{7};
 
 } // namespace
 
-/// A hanging read proves nothing; a late answer proves the state at the time
-/// the read was sent.
+/// A late answer proves the state at the time the read was sent.
 TEST(CatalogProofTest, AReadCountsFromWhenItWasSent) {
   CatalogProof Proof;
   EXPECT_EQ(Proof.provenAt(), base::TimePoint{});
-  Proof.onAsked(Start);
-  EXPECT_EQ(Proof.provenAt(), base::TimePoint{});
-  Proof.onAnswered();
-  Proof.onAsked(Start + milliseconds(500));
+  Proof.onRead({Start, Old});
   EXPECT_EQ(Proof.provenAt(), Start);
-  Proof.onAnswered();
+  Proof.onRead({Start + milliseconds(500), Old});
   EXPECT_EQ(Proof.provenAt(), Start + milliseconds(500));
 }
 
-/// Load pattern: version 7 is acknowledged while this instance gets no answer
+/// A page of a longer answer proves nothing.
+TEST(CatalogProofTest, AReadThatStopsBeforeTheEndProvesNothing) {
+  CatalogProof Proof;
+  Proof.onRead({Start, Old, false});
+  EXPECT_EQ(Proof.provenAt(), base::TimePoint{});
+  EXPECT_EQ(Proof.own(), Old);
+}
+
+/// Load pattern: a change is acknowledged while this instance gets no answer
 /// from the store; the holder learns of it first.
-TEST(CatalogProofTest, TheHoldersReportProvesOnlyTheSameVersion) {
+TEST(CatalogProofTest, TheHoldersReportProvesOnlyTheSamePosition) {
   CatalogProof Proof;
-  Proof.onReportedVersion(Old, Old, Start);
-  EXPECT_EQ(Proof.provenAt(), Start);
-  // A holder with an older version proves nothing.
-  Proof.onReportedVersion(Old, New, Start + milliseconds(900));
+  Proof.onRead({Start - milliseconds(100), Old});
+  Proof.onReported(Old, Start);
   EXPECT_EQ(Proof.provenAt(), Start);
-  Proof.onNewerVersion();
+  Proof.onNewer();
+  EXPECT_EQ(Proof.provenAt(), base::TimePoint{});
+  // A holder that has read further proves nothing.
+  Proof.onReported(New, Start + milliseconds(900));
   EXPECT_EQ(Proof.provenAt(), base::TimePoint{});
-  Proof.onReportedVersion(New, New, Start + milliseconds(1200));
+  Proof.onRead({Start + milliseconds(1000), New});
+  // Nor does one that has read less.
+  Proof.onReported(Old, Start + milliseconds(1200));
+  EXPECT_EQ(Proof.provenAt(), Start + milliseconds(1000));
+  Proof.onReported(New, Start + milliseconds(1200));
   EXPECT_EQ(Proof.provenAt(), Start + milliseconds(1200));
 }
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -21,7 +21,8 @@
 struct Adapter {
   std::unique_ptr<forwarding::Dialect> Protocol;
   std::function<std::unique_ptr<control::ControlStore>(
-      asio::io_context &, http::HttpClient &, const base::Endpoint &Store)>
+      asio::io_context &, http::HttpClient &, const Settings &,
+      const base::Clock &)>
       MakeStore;
   /// The bounds of orders are those of the lease.
   std::function<std::unique_ptr<control::EngineClient>(
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -25,7 +25,7 @@
                 Adapter NewSpeaks, const base::Clock &Clock)
       : Loop(Loop), Options(Options), Speaks(std::move(NewSpeaks)),
         Clock(Clock), Http(http::makeHttpClient(Loop, {MaxControlBytes})),
-        Store(this->Speaks.MakeStore(Loop, *this->Http, this->Options.Store)),
+        Store(this->Speaks.MakeStore(Loop, *this->Http, this->Options, Clock)),
         Engines(
             this->Speaks.MakeEngines(Loop, *this->Http, this->Options.lease())),
         Duties(this->Options.Duties && this->Speaks.MakeDuties
@@ -94,6 +94,8 @@
     Out.LinkEndpoint = "tcp://" + this->Options.Link.text();
     Out.Lease = this->Options.lease();
     Out.Usage.Window = this->Options.UsageWindow;
+    Out.Bounds = this->Options.Bounds;
+    Out.Outages.Heartbeat = this->Options.TargetHeartbeat;
     if (const auto &Owed = this->Options.Duties; Owed && Owed->ReportsUsage) {
       Out.UsageReports.emplace();
       Out.UsageReports->WindowLength = Owed->UsageWindow;
--- a/src/instance/internal/settings.cpp
+++ b/src/instance/internal/settings.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds ShortestLease{500};
 constexpr milliseconds LongestLease{60000};
 constexpr milliseconds ShortestWindow{1000};
+constexpr milliseconds ShortestHeartbeat{100};
+constexpr milliseconds LongestHeartbeat{60000};
 /// One renewal may fail before the lease lapses.
 constexpr int RenewalsPerLease = 3;
 constexpr milliseconds LongestWindow{600000};
@@ -117,10 +119,16 @@
   // A change is in force when its caller's request has come in, some network
   // time after it was sent.
   constexpr milliseconds OnItsWay{200};
-  Out.CatalogProofFor =
-      Reader.millis("catalog_applies_within_ms", Out.CatalogProofFor + OnItsWay,
-                    ShortestWindow, LongestWindow) -
-      OnItsWay;
+  Out.Bounds.Catalog =
+      Reader.millis("catalog_applies_within_ms", Out.Bounds.Catalog,
+                    ShortestWindow, LongestWindow);
+  Out.CatalogProofFor = Out.Bounds.Catalog - OnItsWay;
+  Out.Bounds.Leaving =
+      Reader.millis("leaving_applies_within_ms", Out.Bounds.Leaving,
+                    ShortestWindow, LongestWindow);
+  Out.TargetHeartbeat =
+      Reader.millis("target_heartbeat_ms", Out.TargetHeartbeat,
+                    ShortestHeartbeat, LongestHeartbeat);
   Out.Sampling = readSampling(Reader);
   Out.Level = base::parseLogLevel(
       Reader.oneOf("log_level", "info", {"debug", "info", "warn", "error"}));
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -9,6 +9,7 @@
 #include "base/ids.h"
 #include "base/log.h"
 #include "base/settings.h"
+#include "control/changebounds.h"
 #include "dispatch/retrybudget.h"
 #include "pacing/targetsample.h"
 #include "residency/capacity.h"
@@ -65,6 +66,10 @@
   /// Minimum time between two orders of an instance if another one may have
   /// ordered in between: the deployment's bound on holders that alternate.
   std::chrono::milliseconds OrderTurn{3000};
+  /// Within which changes have to be in force.
+  control::ChangeBounds Bounds;
+  /// How often a target writes its entry.
+  std::chrono::milliseconds TargetHeartbeat{1200};
   /// How long a catalog goes on to deny routes and keys after it was the newest
   /// for certain: within the time in which a change has to be in force.
   std::chrono::milliseconds CatalogProofFor{1800};
