Outages of the targets are judged by when the store served anybody

The first cut judged an outage by the number of records that targets had written, as if each heartbeat made one.

Entries of running targets lapse only where the store serves nobody for two heartbeats. Instances and holder now tell each other when the store last served them; a gap in these times of 2.0 s or more is an outage, and a late report takes it back with the removals that it deferred. While a holder is in doubt, its list gets no new age: the others read for themselves and judge by their own times.

--- a/src/catalog/internal/targetoutage.cpp
+++ b/src/catalog/internal/targetoutage.cpp
@@ -1,45 +1,46 @@
 #include "catalog/targetoutage.h"
 
-#include <algorithm>
+#include <iterator>
 
 namespace kingcuphub::catalog {
 
-void TargetOutageDetector::onCallFailed(base::TimePoint At) {
-  this->FailedAt = std::max(this->FailedAt.value_or(At), At);
-}
+namespace {
+
+/// Times this close to one that is known add nothing.
+constexpr std::chrono::milliseconds Resolution{50};
+constexpr std::chrono::seconds KeptFor{15};
 
-void TargetOutageDetector::onReported(const TargetLogRead &Read) {
-  if (!this->Last || Read.Position > this->Last->Position)
-    this->Last = Read;
+} // namespace
+
+void TargetOutageDetector::onServed(base::TimePoint At) {
+  auto Next = this->Served.lower_bound(At);
+  bool Known = Next != this->Served.end() && *Next < At + Resolution;
+  if (Next != this->Served.begin())
+    Known |= *std::prev(Next) > At - Resolution;
+  if (!Known)
+    this->Served.insert(Next, At);
+  while (*this->Served.begin() < *this->Served.rbegin() - KeptFor)
+    this->Served.erase(this->Served.begin());
 }
 
-std::optional<TargetOutage>
-TargetOutageDetector::onRead(const TargetLogRead &Read, std::size_t Targets,
-                             base::TimePoint Now) {
-  auto Silence = this->silence(Read, Targets, Now);
-  this->Last = Read;
-  if (!Silence && this->FailedAt)
-    return TargetOutage{*this->FailedAt, std::nullopt};
-  if (Silence && *Silence > this->Settings.Heartbeat)
-    return TargetOutage{Read.AskedAt, Silence};
+std::optional<base::TimePoint> TargetOutageDetector::lastOutage() const {
+  // The last heartbeat before an outage may be one interval old, so that an
+  // entry lapses after two more. A third is left for jitter.
+  std::chrono::milliseconds Shortest =
+      this->Settings.Heartbeat * 2 - this->Settings.Heartbeat / 3;
+  std::optional<base::TimePoint> Later;
+  for (auto Each = this->Served.rbegin(); Each != this->Served.rend(); ++Each) {
+    if (Later && *Later - *Each > Shortest)
+      return Later;
+    Later = *Each;
+  }
   return std::nullopt;
 }
 
-std::optional<base::Duration>
-TargetOutageDetector::silence(const TargetLogRead &Read, std::size_t Targets,
-                              base::TimePoint Now) const {
-  if (!this->Last || Targets == 0 || Read.Position < this->Last->Position ||
-      Now > this->Last->AskedAt + this->Settings.LongestGap)
-    return std::nullopt;
-  // A store that comes back in a new era begins to count elsewhere.
-  constexpr std::uint64_t MaxRecords = std::uint64_t{1} << 24U;
-  std::uint64_t Records = Read.Position - this->Last->Position;
-  if (Records > MaxRecords)
+std::optional<base::TimePoint> TargetOutageDetector::lastServed() const {
+  if (this->Served.empty())
     return std::nullopt;
-  base::Duration Written = std::chrono::duration_cast<base::Duration>(
-      this->Settings.Heartbeat *
-      (static_cast<double>(Records) / static_cast<double>(Targets)));
-  return Now - this->Last->AskedAt - Written;
+  return *this->Served.rbegin();
 }
 
 } // namespace kingcuphub::catalog
--- a/src/catalog/internal/targettable.cpp
+++ b/src/catalog/internal/targettable.cpp
@@ -40,8 +40,12 @@
   this->PublishedList.reset();
 }
 
-void TargetTable::onOutage(base::TimePoint At) {
-  this->LastOutage = std::max(this->LastOutage.value_or(At), At);
+std::optional<base::TimePoint>
+TargetTable::graceEnd(base::TimePoint Now) const {
+  if (!this->LastOutage ||
+      Now >= *this->LastOutage + this->Settings.RemovalGrace)
+    return std::nullopt;
+  return *this->LastOutage + this->Settings.RemovalGrace;
 }
 
 bool TargetTable::isOutdated(const TargetEntry &Entry) const {
@@ -92,16 +96,12 @@
   auto Found = this->Current.Targets.find(Id);
   if (Found == this->Current.Targets.end())
     return;
-  bool DuringGrace =
-      this->LastOutage && Now < *this->LastOutage + this->Settings.RemovalGrace;
-  bool MayHaveLapsed =
-      By == ToldBy::Store && DuringGrace && !Found->second.Entry.Leaving;
-  if (!MayHaveLapsed) {
+  auto Due = this->graceEnd(Now);
+  if (By == ToldBy::Holder || !Due || Found->second.Entry.Leaving) {
     this->remove(Id, Now, By);
     return;
   }
-  base::TimePoint Due = *this->LastOutage + this->Settings.RemovalGrace;
-  if (!this->DeferredRemovals.try_emplace(Id, DeferredRemoval{Now, Due}).second)
+  if (!this->DeferredRemovals.try_emplace(Id, Now).second)
     return;
   this->recordChange(TargetChange::Kind::RemovalDeferred, Found->second, By);
   this->Changes.back().DueAt = Due;
@@ -148,8 +148,7 @@
     this->remove(Id, Now, ToldBy::Holder);
   for (const Target *Each : Listed) {
     auto Deferred = this->DeferredRemovals.find(Each->Entry.Id);
-    if (Deferred != this->DeferredRemovals.end() &&
-        Deferred->second.Since < AsOf)
+    if (Deferred != this->DeferredRemovals.end() && Deferred->second < AsOf)
       this->DeferredRemovals.erase(Deferred);
     if (this->Current.Targets.count(Each->Entry.Id) != 0)
       continue;
@@ -191,8 +190,8 @@
 
 void TargetTable::tick(base::TimePoint Now) {
   std::vector<base::TargetId> Expired;
-  for (const auto &[Id, Each] : this->DeferredRemovals)
-    if (Now >= Each.Due)
+  if (!this->graceEnd(Now))
+    for (const auto &[Id, Since] : this->DeferredRemovals)
       Expired.push_back(Id);
   for (const base::TargetId &Id : Expired)
     this->remove(Id, Now, std::nullopt);
--- a/src/catalog/targetoutage.h
+++ b/src/catalog/targetoutage.h
@@ -3,44 +3,26 @@
 
 /// \file
 /// Decides whether entries that are missing from the list of targets may have
-/// lapsed because targets could not write.
+/// lapsed in an outage of the platform's store.
 ///
-/// Load pattern: the platform's store turns some instances away, the lease
-/// holder among them, and goes on to serve the targets. What is removed
-/// meanwhile is gone. In an outage for all, targets cannot write either: the
-/// log that they write to is shorter than their heartbeats make it. No I/O and
-/// no clock.
+/// Load pattern: the store turns some instances away, the lease holder among
+/// them, and goes on to serve the others and the targets. What is removed
+/// meanwhile is gone. Entries of targets that run lapse only where the store
+/// serves nobody for longer than they may miss: instances tell each other when
+/// they were served. No I/O and no clock.
 
 #include "base/clock.h"
 
 #include <chrono>
-#include <cstddef>
-#include <cstdint>
 #include <optional>
+#include <set>
 
 namespace kingcuphub::catalog {
 
 struct TargetOutageSettings {
-  /// How often a target writes its entry.
+  /// How often a target writes its entry; the entry lapses after three of these
+  /// intervals without one.
   std::chrono::milliseconds Heartbeat{1200};
-  /// Targets that come and go make the count of records inexact over a longer
-  /// time between two reads.
-  std::chrono::milliseconds LongestGap{10000};
-};
-
-/// How far the targets' log was read, by this instance or another one.
-struct TargetLogRead {
-  base::TimePoint AskedAt;
-  /// Counts records; has the store's era in its upper bits.
-  std::uint64_t Position = 0;
-};
-
-/// Why removals may be no more than lapsed entries.
-struct TargetOutage {
-  base::TimePoint At;
-  /// For how long targets wrote nothing; none if that is not known and only
-  /// calls of this instance have failed.
-  std::optional<base::Duration> Silence;
 };
 
 class TargetOutageDetector {
@@ -48,24 +30,18 @@
   explicit TargetOutageDetector(TargetOutageSettings Settings = {})
       : Settings(Settings) {}
 
-  /// Handles that the store did not serve this instance at \p At.
-  void onCallFailed(base::TimePoint At);
-  /// Handles how far another instance has read.
-  void onReported(const TargetLogRead &Read);
-  /// Handles a read by this instance that was answered at \p Now, when
-  /// \p Targets were listed. Returns the last outage if removals that it
-  /// brought may be due to that.
-  std::optional<TargetOutage> onRead(const TargetLogRead &Read,
-                                     std::size_t Targets, base::TimePoint Now);
+  /// Handles that the store served this instance or another one at \p At. Times
+  /// may come in any order.
+  void onServed(base::TimePoint At);
+  /// Returns when the store began to serve again after the last outage in which
+  /// entries may have lapsed, if it is known of one.
+  std::optional<base::TimePoint> lastOutage() const;
+  /// Returns when the store last served anybody, if ever.
+  std::optional<base::TimePoint> lastServed() const;
 
 private:
-  std::optional<base::Duration> silence(const TargetLogRead &Read,
-                                        std::size_t Targets,
-                                        base::TimePoint Now) const;
-
   TargetOutageSettings Settings;
-  std::optional<TargetLogRead> Last;
-  std::optional<base::TimePoint> FailedAt;
+  std::set<base::TimePoint> Served;
 };
 
 } // namespace kingcuphub::catalog
--- a/src/catalog/targettable.h
+++ b/src/catalog/targettable.h
@@ -62,8 +62,12 @@
 public:
   explicit TargetTable(TargetTableSettings Settings) : Settings(Settings) {}
 
-  /// Handles that targets may not have been able to write until \p At.
-  void onOutage(base::TimePoint At);
+  /// Sets when the last outage ended in which entries may have lapsed, if there
+  /// was one. Removals that were deferred for one that was none take effect at
+  /// the next tick.
+  void setOutage(std::optional<base::TimePoint> End) { this->LastOutage = End; }
+  /// Whether removals are deferred.
+  bool isInDoubt() const { return !this->DeferredRemovals.empty(); }
   void onEntry(const TargetEntry &Entry, base::TimePoint Now,
                ToldBy By = ToldBy::Store);
   void onRemoved(const base::TargetId &Id, base::TimePoint Now,
@@ -92,10 +96,6 @@
     /// When it was removed from the list, if it was.
     std::optional<base::TimePoint> RemovedAt;
   };
-  struct DeferredRemoval {
-    base::TimePoint Since;
-    base::TimePoint Due;
-  };
 
   void recordChange(TargetChange::Kind What, const Target &Changed,
                     std::optional<ToldBy> By);
@@ -103,6 +103,9 @@
   void remove(const base::TargetId &Id, base::TimePoint Now,
               std::optional<ToldBy> By);
   void restore(const Target &Listed);
+  /// When the time in which lapsed entries are rewritten ends, if it has not
+  /// ended at \p Now.
+  std::optional<base::TimePoint> graceEnd(base::TimePoint Now) const;
 
   TargetTableSettings Settings;
   TargetList Current;
@@ -110,7 +113,8 @@
   std::vector<TargetChange> Changes;
   /// The latest heartbeat of each target, including removed ones.
   std::map<base::TargetId, LatestHeartbeat> LatestHeartbeats;
-  std::map<base::TargetId, DeferredRemoval> DeferredRemovals;
+  /// Targets whose removal is deferred, and since when.
+  std::map<base::TargetId, base::TimePoint> DeferredRemovals;
   std::optional<base::TimePoint> LastOutage;
 };
 
--- a/src/catalog/tests/targettabletest.cpp
+++ b/src/catalog/tests/targettabletest.cpp
@@ -77,7 +77,7 @@
 TEST(TargetTableTest, DefersRemovalAfterOutage) {
   TargetTable Table({});
   Table.onEntry(entry(1, 1), Start);
-  Table.onOutage(Start + milliseconds(100));
+  Table.setOutage(Start + milliseconds(100));
   Table.onRemoved({"t"}, Start + milliseconds(300));
   Table.tick(Start + milliseconds(1500));
   EXPECT_NE(find(Table), nullptr);
@@ -88,7 +88,7 @@
 TEST(TargetTableTest, RewrittenEntryCancelsDeferredRemoval) {
   TargetTable Table({});
   Table.onEntry(entry(1, 1), Start);
-  Table.onOutage(Start);
+  Table.setOutage(Start);
   Table.onRemoved({"t"}, Start);
   Table.onEntry(entry(1, 2), Start + milliseconds(1000));
   Table.tick(Start + milliseconds(5000));
@@ -98,7 +98,7 @@
 TEST(TargetTableTest, RemovesLeavingTargetWithoutDeferral) {
   TargetTable Table({});
   Table.onEntry(entry(1, 1, true), Start);
-  Table.onOutage(Start);
+  Table.setOutage(Start);
   Table.onRemoved({"t"}, Start);
   EXPECT_EQ(find(Table), nullptr);
 }
@@ -126,7 +126,7 @@
 TEST(TargetTableTest, RemovalByTheHolderIsNotDeferred) {
   TargetTable Table({});
   Table.onEntry(entry(1, 1), Start);
-  Table.onOutage(Start);
+  Table.setOutage(Start);
   Table.onRemoved({"t"}, Start, ToldBy::Holder);
   EXPECT_EQ(find(Table), nullptr);
 }
@@ -136,7 +136,7 @@
   TargetTable Table({});
   Table.onEntry(entry(1, 1), Start);
   Target Listed = *find(Table);
-  Table.onOutage(Start);
+  Table.setOutage(Start);
   Table.onRemoved({"t"}, Start + milliseconds(100));
   // As the holder had read it before.
   Table.compare({&Listed}, Start + milliseconds(50), Start + milliseconds(500));
@@ -168,3 +168,16 @@
   Table.compare({}, Start + milliseconds(100), Start + milliseconds(300));
   EXPECT_EQ(find(Table), nullptr);
 }
+
+/// Another instance was served all the while, as its report says.
+TEST(TargetTableTest, RemovalDeferredForNoOutageTakesEffect) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 1), Start);
+  Table.setOutage(Start);
+  Table.onRemoved({"t"}, Start + milliseconds(100));
+  EXPECT_TRUE(Table.isInDoubt());
+  Table.setOutage(std::nullopt);
+  Table.tick(Start + milliseconds(150));
+  EXPECT_EQ(find(Table), nullptr);
+  EXPECT_FALSE(Table.isInDoubt());
+}
--- a/src/control/changebounds.h
+++ b/src/control/changebounds.h
@@ -26,11 +26,12 @@
   /// Maximum age of the proof that the catalog is the newest, before an
   /// instance reads for itself.
   std::chrono::milliseconds catalogValidFor() const {
-    return this->Catalog * 7 / 10;
+    return this->Catalog * 8 / 10;
   }
-  /// Maximum age of the holder's list of targets, likewise.
+  /// Maximum age of the holder's list of targets, likewise: short enough that a
+  /// store that serves anybody at all is known to (see targetoutage.h).
   std::chrono::milliseconds listValidFor() const {
-    return this->Leaving * 6 / 10;
+    return std::min(std::chrono::milliseconds(1700), this->Leaving * 6 / 10);
   }
   /// Interval at which the list of targets is read: the holder's reads reach
   /// the others with its answers to their reports, well before they get too
@@ -43,11 +44,6 @@
   std::chrono::milliseconds catalogWaitAsHolder() const {
     return std::min(std::chrono::milliseconds(500), this->Catalog / 6);
   }
-  /// The same for an instance that no holder confirms its catalog to.
-  std::chrono::milliseconds catalogWaitUnconfirmed() const {
-    return std::min(std::chrono::milliseconds(1000),
-                    this->catalogValidFor() / 3);
-  }
 };
 
 } // namespace kingcuphub::control
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -97,8 +97,9 @@
   /// split.
   std::chrono::milliseconds InstanceTimeout{60000};
   /// How long the store may hold a request for a newer catalog of an instance
-  /// whose catalog the holder confirms.
-  std::chrono::milliseconds CatalogWaitWithHolder{12000};
+  /// without the lease. While nobody confirms its catalog, the instance gives
+  /// the request up for one that is answered at once.
+  std::chrono::milliseconds CatalogWait{12000};
   /// Time in which a new holder receives reports from all instances; until then
   /// it uses the count of the previous holder.
   std::chrono::milliseconds InstanceCountDelay{2000};
--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -56,10 +56,6 @@
   std::string_view Reading;
   bool Reachable = true;
   std::string Detail;
-  /// The latest time at which the store is known not to have served this
-  /// instance: when it failed a call, or when it was asked if it never
-  /// answered.
-  base::TimePoint FailedAt{};
 };
 
 struct StoreEvents {
@@ -73,6 +69,8 @@
   std::function<void(const std::optional<residency::LeaseRecord> &,
                      residency::LeaseLogEnd)>
       OnLease;
+  /// The store has answered a call of this instance, of whatever kind.
+  std::function<void()> OnServed;
   std::function<void(const StoreHealth &)> OnHealth;
   /// The store has come back from an older copy.
   std::function<void()> OnRestored;
--- a/src/control/internal/catalogproof.h
+++ b/src/control/internal/catalogproof.h
@@ -24,13 +24,13 @@
   void onRead(const StoreRead &Read) {
     this->Own = std::max(this->Own, Read.Through);
     if (Read.UpToDate)
-      this->ProvenAt = std::max(this->ProvenAt, Read.AskedAt);
+      this->prove(Read.AskedAt);
   }
   /// Handles that another instance had read through \p Reported and knew it to
   /// be the end of the operator's log at \p At.
   void onReported(StorePosition Reported, base::TimePoint At) {
     if (Reported == this->Own)
-      this->ProvenAt = std::max(this->ProvenAt, At);
+      this->prove(At);
   }
   /// Handles that another instance has read further.
   void onNewer() { this->ProvenAt = {}; }
@@ -38,12 +38,21 @@
   /// The position through which the operator's log has been read.
   StorePosition own() const { return this->Own; }
 
-  /// The epoch of the clock if nothing is proven.
+  /// The epoch of the clock if nothing is proven, or something newer is known
+  /// to exist.
   base::TimePoint provenAt() const { return this->ProvenAt; }
+  /// The latest time that was ever proven.
+  base::TimePoint lastProvenAt() const { return this->LastProvenAt; }
 
 private:
+  void prove(base::TimePoint At) {
+    this->ProvenAt = std::max(this->ProvenAt, At);
+    this->LastProvenAt = std::max(this->LastProvenAt, At);
+  }
+
   StorePosition Own;
   base::TimePoint ProvenAt;
+  base::TimePoint LastProvenAt;
 };
 
 } // namespace kingcuphub::control
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -53,7 +53,13 @@
     if (auto Listening = this->Role.listen(this->Messages); !Listening)
       base::logEvent(base::LogLevel::Error, "link-not-listening",
                      {{"why", Listening.error().Message}});
+    this->Role.onReportedServed(
+        [this](base::TimePoint At) { this->onServed(At); });
     StoreEvents Events;
+    Events.OnServed = [this] {
+      this->ServedAt = this->Clock.now();
+      this->onServed(*this->ServedAt);
+    };
     Events.OnCatalog = [this](catalog::CatalogPtr New) {
       this->onCatalog(std::move(New));
     };
@@ -79,7 +85,8 @@
       this->Metrics.counter("store_restored").add();
     };
     Events.OnIncompleteTargets = [this] {
-      this->Table.onOutage(this->Clock.now());
+      this->IncompleteAt = this->Clock.now();
+      this->updateOutage();
     };
     this->Store.start(std::move(Events));
     this->TickedAt = this->Clock.now();
@@ -246,21 +253,27 @@
   /// Applies what this instance has read of the platform's list of targets.
   void onTargetsRead(const std::vector<TargetUpdate> &Updates,
                      const TargetRead &Got) {
-    if (Got.Read.UpToDate) {
-      this->Role.onTargetsRead(Got.Read);
+    this->updateOutage();
+    this->applyUpdates(Updates, Got.Whole, catalog::ToldBy::Store);
+    if (Got.Read.UpToDate && !this->Table.isInDoubt()) {
+      this->Role.onTargetsRead(Got.Read.AskedAt);
       this->Traffic.setTargetsProven(Got.Read.AskedAt);
     }
-    if (auto Outage = this->Outages.onRead(
-            {Got.Read.AskedAt, Got.Read.Through.Value},
-            this->Table.list()->Targets.size(), this->Clock.now())) {
-      this->Table.onOutage(Outage->At);
-      this->OutageSilence = Outage->Silence;
-    }
-    this->onTargets(Updates, Got.Whole, catalog::ToldBy::Store);
+    this->onTargetsApplied();
   }
 
-  void onTargets(const std::vector<TargetUpdate> &Updates, bool Whole,
-                 catalog::ToldBy By) {
+  void onServed(base::TimePoint At) {
+    this->Outages.onServed(At);
+    this->Role.setServed(this->Outages.lastServed());
+  }
+
+  void updateOutage() {
+    this->Table.setOutage(
+        std::max(this->Outages.lastOutage(), this->IncompleteAt));
+  }
+
+  void applyUpdates(const std::vector<TargetUpdate> &Updates, bool Whole,
+                    catalog::ToldBy By) {
     base::TimePoint Now = this->Clock.now();
     if (Whole) {
       std::vector<catalog::TargetEntry> Entries;
@@ -278,6 +291,9 @@
                                  }},
                    Each);
     }
+  }
+
+  void onTargetsApplied() {
     this->HasTargets = true;
     this->publishTargets();
     this->checkReady();
@@ -301,10 +317,11 @@
                              {"zone", Change.Zone.Value},
                              {"by", catalog::toldByName(Change.By)}};
     if (Change.DueAt) {
-      Fields["due_in_ms"] = base::millisOf(*Change.DueAt - this->Clock.now());
-      // Without it, only calls of this instance have failed.
-      if (this->OutageSilence)
-        Fields["targets_silent_ms"] = base::millisOf(*this->OutageSilence);
+      base::TimePoint Now = this->Clock.now();
+      Fields["due_in_ms"] = base::millisOf(*Change.DueAt - Now);
+      Fields["outage_ended_ms_ago"] =
+          this->ageOf(this->Outages.lastOutage(), Now);
+      Fields["incomplete_ms_ago"] = this->ageOf(this->IncompleteAt, Now);
     }
     base::logEvent(base::LogLevel::Info, "target-change", Fields);
   }
@@ -360,12 +377,14 @@
       this->Lease.forgetEnd();
     this->HolderSilent = Silent;
     const ChangeBounds &Bounds = this->Settings.Bounds;
-    bool Confirmed =
-        !Silent && Now <= this->Proof.provenAt() + Bounds.catalogValidFor();
-    this->Store.setCatalogWait(
-        this->Lease.claimedHere() ? Bounds.catalogWaitAsHolder()
-        : Confirmed               ? this->Settings.CatalogWaitWithHolder
-                                  : Bounds.catalogWaitUnconfirmed());
+    this->Store.setCatalogWait(this->Lease.claimedHere()
+                                   ? Bounds.catalogWaitAsHolder()
+                                   : this->Settings.CatalogWait);
+    bool Unconfirmed =
+        !this->Lease.claimedHere() &&
+        Now > this->Proof.lastProvenAt() + Bounds.catalogValidFor();
+    if (Unconfirmed)
+      this->Store.readCatalogNow();
     if (this->Lag.isDue(this->Proof.own(), Now))
       this->readCatalogNow(Now);
     this->Store.followLease(Silent || this->Lease.needsRead());
@@ -398,7 +417,8 @@
         Updates.emplace_back(TargetRemoved{Id});
     }
     // What a whole list lacks is removed when it is known how old the list is.
-    this->onTargets(Updates, false, catalog::ToldBy::Holder);
+    this->applyUpdates(Updates, false, catalog::ToldBy::Holder);
+    this->onTargetsApplied();
   }
 
   /// Updates when the holder last read the list of targets. The reply may have
@@ -415,10 +435,8 @@
         this->ListedAt,
         Sent->second - std::chrono::milliseconds(Reply.listed_age_ms()));
     this->ReportSendTimes.erase(this->ReportSendTimes.begin(), std::next(Sent));
-    if (this->Lease.claimedHere())
-      return;
-    this->Outages.onReported({this->ListedAt, Reply.targets_position()});
-    this->compareWithListed();
+    if (!this->Lease.claimedHere())
+      this->compareWithListed();
   }
 
   /// Finds targets on which this instance and the holder differ after both have
@@ -437,8 +455,6 @@
   }
 
   void onHealth(const StoreHealth &Health) {
-    if (!Health.Reachable)
-      this->Outages.onCallFailed(Health.FailedAt);
     auto [Known, New] =
         this->Reachable.try_emplace(std::string(Health.Reading), true);
     if (Known->second == Health.Reachable)
@@ -455,6 +471,7 @@
   void tick() {
     base::TimePoint Now = this->Clock.now();
     this->checkTickDelay(Now);
+    this->updateOutage();
     this->Table.tick(Now);
     this->publishTargets();
     this->updateHolderState(Now);
@@ -630,6 +647,9 @@
     Out.set_listed_revision(this->Listed.revision());
     Out.set_suspects_revision(this->Suspects.revision());
     Out.set_operator_position(this->Proof.own().Value);
+    if (this->ServedAt)
+      Out.set_served_ms_ago(static_cast<std::uint32_t>(
+          base::millisOf(this->Clock.now() - *this->ServedAt)));
     this->ReportSendTimes[this->ReportNumber] = this->Clock.now();
     if (this->ReportSendTimes.size() > MaxPendingReports)
       this->ReportSendTimes.erase(this->ReportSendTimes.begin());
@@ -657,6 +677,8 @@
     if (Reply.leaving())
       this->Lease.onGivenUp({Reply.token()}, readUnsettled(Reply.unsettled()),
                             Now);
+    if (Reply.has_served_ms_ago())
+      this->onServed(Now - std::chrono::milliseconds(Reply.served_ms_ago()));
     this->updateHolderState(Now);
     if (Reply.leaving())
       return;
@@ -704,8 +726,10 @@
   catalog::CatalogPtr Catalog;
   catalog::TargetTable Table;
   catalog::TargetOutageDetector Outages;
-  /// Of the last outage, if it is known.
-  std::optional<base::Duration> OutageSilence;
+  /// When the store last answered a call of this instance.
+  std::optional<base::TimePoint> ServedAt;
+  /// When the list of targets was last known to be incomplete.
+  std::optional<base::TimePoint> IncompleteAt;
   catalog::TargetListPtr PublishedTargets;
   CatalogLag Lag;
   CatalogProof Proof;
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -183,9 +183,13 @@
     return;
   }
   this->checkLease();
+  base::TimePoint Now = this->Clock.now();
+  // Also without a lease, which a late renewal may restore.
+  if (Report.has_served_ms_ago())
+    this->OnReportedServed(Now -
+                           std::chrono::milliseconds(Report.served_ms_ago()));
   if (!this->Token)
     return;
-  base::TimePoint Now = this->Clock.now();
   ++this->Work.Reports;
   if (Report.credit_only())
     return this->onCreditReport(From, Report);
@@ -528,11 +532,12 @@
   if (this->CatalogProvenAt != base::TimePoint{})
     Out.set_operator_age_ms(static_cast<std::uint32_t>(
         base::millisOf(Now - this->CatalogProvenAt)));
-  if (this->TargetsRead) {
-    Out.set_targets_position(this->TargetsRead->Through.Value);
+  if (this->TargetsAskedAt)
     Out.set_listed_age_ms(static_cast<std::uint32_t>(
-        base::millisOf(Now - this->TargetsRead->AskedAt)));
-  }
+        base::millisOf(Now - *this->TargetsAskedAt)));
+  if (this->ServedAt)
+    Out.set_served_ms_ago(
+        static_cast<std::uint32_t>(base::millisOf(Now - *this->ServedAt)));
   return Out;
 }
 
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -7,7 +7,6 @@
 /// instances what engines hold.
 
 #include "control/control.h"
-#include "control/controlstore.h"
 #include "dispatch/crashcorrelator.h"
 #include "linkmessages.h"
 #include "pacing/targetlearner.h"
@@ -41,8 +40,17 @@
     this->CatalogThrough = Through;
     this->CatalogProvenAt = At;
   }
-  /// Handles that the platform's list of targets was read, changed or not.
-  void onTargetsRead(const StoreRead &Read) { this->TargetsRead = Read; }
+  /// Sets the handler for when instances say that the store served them.
+  void onReportedServed(std::function<void(base::TimePoint)> Handler) {
+    this->OnReportedServed = std::move(Handler);
+  }
+  void setServed(std::optional<base::TimePoint> At) { this->ServedAt = At; }
+  /// Handles that the platform's list of targets was read, changed or not, and
+  /// asked for at \p AskedAt. Not called while removals are in doubt here: the
+  /// others then judge by their own reads.
+  void onTargetsRead(base::TimePoint AskedAt) {
+    this->TargetsAskedAt = AskedAt;
+  }
   /// Applies the state of the lease; must be called whenever it may have
   /// changed.
   void checkLease();
@@ -180,7 +188,9 @@
   dispatch::SuspectParts LeftQuarantined;
   UsageReporter Reporter;
   ScalingDuty Scaling;
-  std::optional<StoreRead> TargetsRead;
+  std::function<void(base::TimePoint)> OnReportedServed;
+  std::optional<base::TimePoint> ServedAt;
+  std::optional<base::TimePoint> TargetsAskedAt;
   StorePosition CatalogThrough;
   base::TimePoint CatalogProvenAt;
   asio::steady_timer PlanTimer;
--- a/src/control/tests/catalogprooftest.cpp
+++ b/src/control/tests/catalogprooftest.cpp
@@ -41,6 +41,7 @@
   EXPECT_EQ(Proof.provenAt(), Start);
   Proof.onNewer();
   EXPECT_EQ(Proof.provenAt(), base::TimePoint{});
+  EXPECT_EQ(Proof.lastProvenAt(), Start);
   // A holder that has read further proves nothing.
   Proof.onReported(New, Start + milliseconds(900));
   EXPECT_EQ(Proof.provenAt(), base::TimePoint{});
