Control: the holder's list is compared as of that holder's read

After a change of holder, the list of the new one was compared as of the latest read of the one before. A target that only that one had read yet was dropped until the new holder read the list, a second later at most, and used again one read after that. Found by reading; no test of its own: the fleets of FreshnessTest change holders and pass.

--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -431,26 +431,27 @@
     auto Sent = this->ReportSendTimes.find(Reply.number());
     if (Sent == this->ReportSendTimes.end())
       return;
-    this->ListedAt = std::max(
-        this->ListedAt,
-        Sent->second - std::chrono::milliseconds(Reply.listed_age_ms()));
+    base::TimePoint AsOf =
+        Sent->second - std::chrono::milliseconds(Reply.listed_age_ms());
+    this->ListedAt = std::max(this->ListedAt, AsOf);
     this->ReportSendTimes.erase(this->ReportSendTimes.begin(), std::next(Sent));
     if (!this->Lease.claimedHere())
-      this->compareWithListed();
+      this->compareWithListed(AsOf);
   }
 
-  /// Finds targets on which this instance and the holder differ after both have
-  /// read the list themselves. Its deltas no longer tell of them.
-  void compareWithListed() {
+  /// Finds targets on which this instance and the holder, who read the list at
+  /// \p AsOf, differ after both have read it themselves. Its deltas no longer
+  /// tell of them. The list of a new holder may be older than the one before.
+  void compareWithListed(base::TimePoint AsOf) {
     base::TimePoint Now = this->Clock.now();
-    if (this->ListedAt < this->ComparedAsOf + this->Settings.ReportInterval)
+    if (AsOf < this->ComparedAsOf + this->Settings.ReportInterval)
       return;
-    this->ComparedAsOf = this->ListedAt;
-    this->Traffic.setTargetsProven(this->ListedAt);
+    this->ComparedAsOf = AsOf;
+    this->Traffic.setTargetsProven(AsOf);
     std::vector<const catalog::Target *> All;
     for (const auto &[Id, Each] : this->Listed.values())
       All.push_back(&Each.Target);
-    this->Table.compare(All, this->ListedAt, Now);
+    this->Table.compare(All, AsOf, Now);
     this->publishTargets();
   }
 
