Targets: an older list of the holder changes nothing that was read here

- An instance that had read itself that a target was gone took it back from a holder that had been turned away, by a heartbeat that only the holder had read; reads that go on from a position never told of the removal again.
Such entries now neither bring a target back nor end a deferral; compare() does, by when the holder read.
- An instance that returns knew nothing of the time in which it was turned away and doubted all removals in it.
The holder now tells since when it knows of no outage.
- Removals are deferred for 2.2 s after an outage, not 2.4: they are back within two, and an instance is in touch again three seconds after it.

--- a/src/catalog/internal/targetoutage.cpp
+++ b/src/catalog/internal/targetoutage.cpp
@@ -23,18 +23,35 @@
     this->Served.erase(this->Served.begin());
 }
 
-std::optional<base::TimePoint> TargetOutageDetector::lastOutage() const {
+void TargetOutageDetector::onServedThroughout(base::TimePoint From,
+                                              base::TimePoint To) {
+  if (!this->lastOutage())
+    return;
+  for (base::TimePoint Each = From; Each < To; Each += this->Settings.Heartbeat)
+    this->onServed(Each);
+  this->onServed(To);
+}
+
+std::chrono::milliseconds TargetOutageDetector::shortestOutage() const {
   // The last heartbeat before an outage may be one interval old, so that an
   // entry lapses after two more. A third is left for jitter.
-  std::chrono::milliseconds Shortest =
-      this->Settings.Heartbeat * 2 - this->Settings.Heartbeat / 3;
+  return this->Settings.Heartbeat * 2 - this->Settings.Heartbeat / 3;
+}
+
+std::optional<base::TimePoint> TargetOutageDetector::lastOutage() const {
+  auto Since = this->servedSince();
+  bool FromTheStart = !Since || *Since == *this->Served.begin();
+  return FromTheStart ? std::nullopt : Since;
+}
+
+std::optional<base::TimePoint> TargetOutageDetector::servedSince() const {
   std::optional<base::TimePoint> Later;
   for (auto Each = this->Served.rbegin(); Each != this->Served.rend(); ++Each) {
-    if (Later && *Later - *Each > Shortest)
+    if (Later && *Later - *Each > this->shortestOutage())
       return Later;
     Later = *Each;
   }
-  return std::nullopt;
+  return Later;
 }
 
 std::optional<base::TimePoint> TargetOutageDetector::lastServed() const {
--- a/src/catalog/internal/targettable.cpp
+++ b/src/catalog/internal/targettable.cpp
@@ -61,6 +61,13 @@
                           ToldBy By) {
   if (this->isOutdated(Entry))
     return;
+  // The holder's list may be older than the read by which the target was found
+  // to be missing here; compare() tells.
+  if (auto Known = this->LatestHeartbeats.find(Entry.Id);
+      By == ToldBy::Holder && Known != this->LatestHeartbeats.end() &&
+      Known->second.Lifetime == Entry.Lifetime &&
+      (Known->second.RemovedAt || this->DeferredRemovals.count(Entry.Id) != 0))
+    return;
   this->LatestHeartbeats[Entry.Id] = {Entry.Lifetime, Entry.Beat, std::nullopt};
   this->DeferredRemovals.erase(Entry.Id);
   Target New;
@@ -128,7 +135,8 @@
   auto Found = this->Current.Targets.find(Id);
   if (Found == this->Current.Targets.end())
     return;
-  this->LatestHeartbeats[Id].RemovedAt = Now;
+  if (By != ToldBy::Holder)
+    this->LatestHeartbeats[Id].RemovedAt = Now;
   this->recordChange(TargetChange::Kind::Removed, Found->second, By);
   this->Current.Targets.erase(Found);
 }
@@ -153,11 +161,11 @@
     if (this->Current.Targets.count(Each->Entry.Id) != 0)
       continue;
     auto Known = this->LatestHeartbeats.find(Each->Entry.Id);
-    bool MissedSince = Known != this->LatestHeartbeats.end() &&
-                       Known->second.Lifetime <= Each->Entry.Lifetime &&
-                       Known->second.RemovedAt &&
-                       *Known->second.RemovedAt < AsOf;
-    if (MissedSince)
+    bool RemovedLater =
+        Known != this->LatestHeartbeats.end() &&
+        (Known->second.Lifetime > Each->Entry.Lifetime ||
+         (Known->second.RemovedAt && *Known->second.RemovedAt >= AsOf));
+    if (!RemovedLater && !Each->Entry.Leaving)
       this->restore(*Each);
   }
 }
@@ -168,7 +176,10 @@
   New.ColdUntil = New.ReadAt + New.Entry.ColdFor;
   if (New.Entry.TimeLeft)
     New.EndsAt = New.ReadAt + *New.Entry.TimeLeft;
-  this->LatestHeartbeats[New.Entry.Id].RemovedAt.reset();
+  LatestHeartbeat &Known = this->LatestHeartbeats[New.Entry.Id];
+  if (Known.Lifetime < New.Entry.Lifetime || Known.Beat < New.Entry.Beat)
+    Known = {New.Entry.Lifetime, New.Entry.Beat, std::nullopt};
+  Known.RemovedAt.reset();
   this->Current.Targets.emplace(New.Entry.Id, New);
   this->recordChange(TargetChange::Kind::Added, New, ToldBy::Holder);
 }
--- a/src/catalog/targetoutage.h
+++ b/src/catalog/targetoutage.h
@@ -33,13 +33,20 @@
   /// Handles that the store served this instance or another one at \p At. Times
   /// may come in any order.
   void onServed(base::TimePoint At);
+  /// Handles that another instance knows of no outage between the two times.
+  void onServedThroughout(base::TimePoint From, base::TimePoint To);
   /// Returns when the store began to serve again after the last outage in which
   /// entries may have lapsed, if it is known of one.
   std::optional<base::TimePoint> lastOutage() const;
+  /// Returns since when it is known of no outage, if anybody was ever served.
+  std::optional<base::TimePoint> servedSince() const;
   /// Returns when the store last served anybody, if ever.
   std::optional<base::TimePoint> lastServed() const;
 
 private:
+  /// The shortest time without an answer in which entries may lapse.
+  std::chrono::milliseconds shortestOutage() const;
+
   TargetOutageSettings Settings;
   std::set<base::TimePoint> Served;
 };
--- a/src/catalog/targettable.h
+++ b/src/catalog/targettable.h
@@ -55,7 +55,7 @@
   /// How long after an outage removals are deferred. Entries that expired in an
   /// outage of the platform's store are rewritten within two seconds of its
   /// return; the remaining time allows for reading them.
-  base::Duration RemovalGrace = std::chrono::milliseconds(2400);
+  base::Duration RemovalGrace = std::chrono::milliseconds(2200);
 };
 
 class TargetTable {
--- a/src/catalog/tests/targetoutagetest.cpp
+++ b/src/catalog/tests/targetoutagetest.cpp
@@ -59,3 +59,16 @@
     Outages.onServed(at(Each));
   EXPECT_FALSE(Outages.lastOutage());
 }
+
+/// An instance that was turned away hears from a new holder.
+TEST(TargetOutageTest, WhatAnotherInstanceKnowsTakesAnOutageBack) {
+  TargetOutageDetector Outages;
+  Outages.onServed(at(0));
+  Outages.onServed(at(6000));
+  EXPECT_EQ(Outages.servedSince(), at(6000));
+  Outages.onServedThroughout(at(4500), at(6100));
+  EXPECT_EQ(Outages.lastOutage(), at(4500));
+  Outages.onServedThroughout(at(1000), at(6200));
+  EXPECT_FALSE(Outages.lastOutage());
+  EXPECT_EQ(Outages.servedSince(), at(0));
+}
--- a/src/catalog/tests/targettabletest.cpp
+++ b/src/catalog/tests/targettabletest.cpp
@@ -181,3 +181,34 @@
   EXPECT_EQ(find(Table), nullptr);
   EXPECT_FALSE(Table.isInDoubt());
 }
+
+/// The holder was turned away and still lists what this instance has read to be
+/// gone, by a heartbeat that only the holder had read.
+TEST(TargetTableTest, AnOlderListOfTheHolderBringsNoRemovedTargetBack) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 3), Start);
+  Table.onRemoved({"t"}, Start + milliseconds(100));
+  Table.onEntry(entry(1, 9), Start + milliseconds(200), ToldBy::Holder);
+  EXPECT_EQ(find(Table), nullptr);
+  // It has started again since.
+  Table.onEntry(entry(2, 1), Start + milliseconds(300), ToldBy::Holder);
+  EXPECT_NE(find(Table), nullptr);
+}
+
+TEST(TargetTableTest, WhatTheHolderRemovedItBringsBack) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 3), Start);
+  Table.onRemoved({"t"}, Start + milliseconds(100), ToldBy::Holder);
+  Table.onEntry(entry(1, 4), Start + milliseconds(200), ToldBy::Holder);
+  EXPECT_NE(find(Table), nullptr);
+}
+
+TEST(TargetTableTest, AnOlderListOfTheHolderEndsNoDeferral) {
+  TargetTable Table({});
+  Table.onEntry(entry(1, 3), Start);
+  Table.setOutage(Start);
+  Table.onRemoved({"t"}, Start + milliseconds(100));
+  Table.onEntry(entry(1, 9), Start + milliseconds(200), ToldBy::Holder);
+  Table.tick(Start + milliseconds(3000));
+  EXPECT_EQ(find(Table), nullptr);
+}
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -264,7 +264,8 @@
 
   void onServed(base::TimePoint At) {
     this->Outages.onServed(At);
-    this->Role.setServed(this->Outages.lastServed());
+    this->Role.setServed(this->Outages.lastServed(),
+                         this->Outages.servedSince());
   }
 
   void updateOutage() {
@@ -678,8 +679,13 @@
     if (Reply.leaving())
       this->Lease.onGivenUp({Reply.token()}, readUnsettled(Reply.unsettled()),
                             Now);
-    if (Reply.has_served_ms_ago())
-      this->onServed(Now - std::chrono::milliseconds(Reply.served_ms_ago()));
+    if (Reply.has_served_ms_ago()) {
+      base::TimePoint At =
+          Now - std::chrono::milliseconds(Reply.served_ms_ago());
+      this->Outages.onServedThroughout(
+          Now - std::chrono::milliseconds(Reply.served_since_ms_ago()), At);
+      this->onServed(At);
+    }
     this->updateHolderState(Now);
     if (Reply.leaving())
       return;
--- a/src/control/internal/holderrole.cpp
+++ b/src/control/internal/holderrole.cpp
@@ -535,9 +535,12 @@
   if (this->TargetsAskedAt)
     Out.set_listed_age_ms(static_cast<std::uint32_t>(
         base::millisOf(Now - *this->TargetsAskedAt)));
-  if (this->ServedAt)
+  if (this->ServedAt && this->ServedSince) {
     Out.set_served_ms_ago(
         static_cast<std::uint32_t>(base::millisOf(Now - *this->ServedAt)));
+    Out.set_served_since_ms_ago(
+        static_cast<std::uint32_t>(base::millisOf(Now - *this->ServedSince)));
+  }
   return Out;
 }
 
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -44,7 +44,13 @@
   void onReportedServed(std::function<void(base::TimePoint)> Handler) {
     this->OnReportedServed = std::move(Handler);
   }
-  void setServed(std::optional<base::TimePoint> At) { this->ServedAt = At; }
+  /// Sets when the store last served anybody, and since when no outage of it is
+  /// known.
+  void setServed(std::optional<base::TimePoint> At,
+                 std::optional<base::TimePoint> Since) {
+    this->ServedAt = At;
+    this->ServedSince = Since;
+  }
   /// Handles that the platform's list of targets was read, changed or not, and
   /// asked for at \p AskedAt. Not called while removals are in doubt here: the
   /// others then judge by their own reads.
@@ -190,6 +196,7 @@
   ScalingDuty Scaling;
   std::function<void(base::TimePoint)> OnReportedServed;
   std::optional<base::TimePoint> ServedAt;
+  std::optional<base::TimePoint> ServedSince;
   std::optional<base::TimePoint> TargetsAskedAt;
   StorePosition CatalogThrough;
   base::TimePoint CatalogProvenAt;
