--- a/src/catalog/internal/targettable.cpp
+++ b/src/catalog/internal/targettable.cpp
@@ -61,8 +61,8 @@
                           ToldBy By) {
   if (this->isOutdated(Entry))
     return;
-  // The holder's list may be older than the read by which the target was found
-  // to be missing here; compare() tells.
+  // The list of this holder may be older than the read by which the target was
+  // found to be missing; compare() tells.
   if (auto Known = this->LatestHeartbeats.find(Entry.Id);
       By == ToldBy::Holder && Known != this->LatestHeartbeats.end() &&
       Known->second.Lifetime == Entry.Lifetime &&
@@ -135,8 +135,7 @@
   auto Found = this->Current.Targets.find(Id);
   if (Found == this->Current.Targets.end())
     return;
-  if (By != ToldBy::Holder)
-    this->LatestHeartbeats[Id].RemovedAt = Now;
+  this->LatestHeartbeats[Id].RemovedAt = Now;
   this->recordChange(TargetChange::Kind::Removed, Found->second, By);
   this->Current.Targets.erase(Found);
 }
--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -104,6 +104,8 @@
   /// Sets whether to follow the list of targets. Not needed while the holder
   /// sends it.
   virtual void followTargets(bool Follow) = 0;
+  /// Reads the complete list of targets again, if it is followed.
+  virtual void readAllTargets() = 0;
   virtual void append(const residency::LeaseAppend &What,
                       std::function<void(AppendResult)> Done) = 0;
 };
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -403,6 +403,12 @@
            {"holder_read_ms_ago", this->ageOf(this->ListedAt, Now)},
            {"holds_lease", this->Lease.claimedHere()}});
     this->Store.followTargets(Follow);
+    // All others will go by the list of a new holder: what it has heard of
+    // earlier ones must not stay in it.
+    if (this->Lease.claimedHere() && !std::exchange(this->ReadAsHolder, true))
+      this->Store.readAllTargets();
+    if (!this->Lease.claimedHere())
+      this->ReadAsHolder = false;
   }
 
   /// Applies the list of targets as the holder read it.
@@ -780,6 +786,8 @@
   base::TimePoint ListedAt;
   base::TimePoint ComparedAsOf;
   bool FollowsTargets = false;
+  /// The complete list has been read since the lease was claimed.
+  bool ReadAsHolder = false;
   /// When the latest reports were sent, by report number.
   std::map<std::uint64_t, base::TimePoint> ReportSendTimes;
 };
