Forwarding: a request that was given up is not sent on

Requests reached targets up to 3.1 s after their removal had been acknowledged (bound 2.0 s), though no instance used them any more. Their callers had left during a cut of the link, and the connection was closed with the request unacknowledged: the system goes on to repeat what is queued until the peer can be reached again. The client for control calls resets such connections; the one for callers' requests did not. Both share the code now.

ForwardClientTest.ACancelledRequestIsNotSentOn failed before: the peer got the whole queue and an orderly end.

--- a/src/http/internal/forwardconnection.cpp
+++ b/src/http/internal/forwardconnection.cpp
@@ -1,5 +1,7 @@
 #include "forwardconnection.h"
 
+#include "discardunsent.h"
+
 #include <asio/post.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
@@ -309,6 +311,8 @@
              [Old = std::exchange(this->Callbacks, {})] {});
   this->ConnectTimer.cancel();
   asio::error_code Ignored;
+  if (this->Socket.is_open())
+    discardUnsentOnClose(this->Socket.native_handle());
   // The peer sees the end either way.
   this->Socket.close(Ignored);
   this->Pool.OnClosed(this->shared_from_this());
--- a/src/http/internal/httpclient.cpp
+++ b/src/http/internal/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "http/httpclient.h"
 
+#include "discardunsent.h"
 #include "http/messageparser.h"
 
 #include <algorithm>
@@ -8,10 +9,8 @@
 #include <asio/steady_timer.hpp>
 #include <charconv>
 #include <curl/curl.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_map>
@@ -39,15 +38,8 @@
   return CURL_SOCKOPT_OK;
 }
 
-/// A plain close would let the system go on to send what is queued; a reset
-/// discards it.
 int closeSocket(void *, curl_socket_t Socket) {
-  int Unacknowledged = 0;
-  bool Known = ioctl(Socket, SIOCOUTQ, &Unacknowledged) == 0;
-  if (!Known || Unacknowledged > 0) {
-    constexpr linger Reset{1, 0};
-    setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
-  }
+  discardUnsentOnClose(Socket);
   return close(Socket);
 }
 
--- a/src/http/tests/forwardclienttest.cpp
+++ b/src/http/tests/forwardclienttest.cpp
@@ -1,6 +1,7 @@
 #include "http/forwardclient.h"
 
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/read_until.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
@@ -286,3 +287,17 @@
   ASSERT_TRUE(this->runUntil([this] { return this->Result.has_value(); }));
   EXPECT_EQ(this->Result->End, ForwardEnd::Complete);
 }
+
+/// A request to a peer that could not be reached went on to it after its caller
+/// had left, for as long as the system repeated what was queued.
+TEST_F(ForwardClientTest, ACancelledRequestIsNotSentOn) {
+  auto Call = this->ask(std::string(LargeUploadBytes, 'u'));
+  ASSERT_TRUE(this->runUntil([&] { return !this->Accepted.empty(); }));
+  this->Loop.run_for(SettlingTime);
+  Call->cancel();
+  this->Loop.run_for(SettlingTime);
+  asio::error_code Failed;
+  std::string Got(LargeUploadBytes * 2, '\0');
+  asio::read(*this->Accepted.front(), asio::buffer(Got), Failed);
+  EXPECT_EQ(Failed, asio::error::connection_reset);
+}
