--- a/review/lab3/lab.py
+++ b/review/lab3/lab.py
@@ -507,16 +507,20 @@
     async def whole():
         return await asyncio.wait_for(scenario(lab), 110)
 
+    def end(code):
+        lab.close()
+        lab.record.note("exit %d" % code)
+        sys.stdout.flush()
+        # The tasks of the stand-ins need no orderly end.
+        os._exit(code)
+
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
-    code = CANNOT_RUN
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, end, CANNOT_RUN)
     try:
         code = HELD if loop.run_until_complete(whole()) else BROKEN
-    except (CannotRun, asyncio.TimeoutError) as why:
+    except Exception as why:
         lab.record.note("could not run: %r" % why)
-    finally:
-        lab.close()
-    lab.record.note("exit %d" % code)
-    sys.stdout.flush()
-    # The tasks of the stand-ins need no orderly end.
-    os._exit(code)
+        code = CANNOT_RUN
+    end(code)
