Forwarding: route and account of a request never outlive their catalog

Cause: Exchange kept Catalog, Route and Account as three members. Exchange::resolve() assigned the new catalog, which could drop the last reference to the one before, and refused the request while Account still pointed into it. end() then read the account for its credit and its log line.

Change: the three are one value, ResolvedRequest, which resolveRequest() makes from one catalog. An exchange replaces it whole, or keeps it where the new catalog rejects the request, so that end() sees the account under which the request was admitted. The log line names the catalog that rejected it.

--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -15,8 +15,6 @@
 using std::chrono::milliseconds;
 
 constexpr int BadRequest = 400;
-constexpr int Unauthorized = 401;
-constexpr int NotFound = 404;
 constexpr int TooManyRequests = 429;
 constexpr int FirstServerError = 500;
 constexpr int BadGateway = 502;
@@ -40,10 +38,6 @@
 /// How often a silent attempt that could not be replaced is looked at again.
 constexpr std::chrono::milliseconds SilenceRecheck{200};
 
-std::string_view hostName(std::string_view Host) {
-  return Host.substr(0, Host.find(':'));
-}
-
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 } // namespace
@@ -96,7 +90,7 @@
     return true;
   base::TimePoint Now = this->now();
   base::Duration Needed = this->Deadline - Now;
-  if (auto Longest = this->Context.AnswerTimes.longest(this->Route->Id, Now))
+  if (auto Longest = this->Context.AnswerTimes.longest(this->route().Id, Now))
     Needed = std::min(Needed, std::chrono::duration_cast<base::Duration>(
                                   *Longest * AnswerTimeMargin));
   return Now + Needed <= *this->Context.CutAt;
@@ -151,43 +145,40 @@
                std::max(Wait, MinQuarantineRetryAfter));
 }
 
-/// Looks up route and account in the newest catalog; refuses the request if one
-/// of them is missing.
+/// Looks up route and account in the newest catalog. If that rejects the
+/// request, it is refused by the route and account that it had before.
 bool Exchange::resolve() {
-  this->Catalog = this->Context.Catalog;
-  this->Route = this->Catalog->route(hostName(this->Asked.header("Host")),
-                                     this->Asked.Path);
-  if (this->Route == nullptr || this->Route->Services.empty()) {
-    this->rejectByCatalog(NotFound, "no-route");
-    return false;
-  }
-  if (!this->resolveAccount())
-    return false;
-  this->Deadline = this->ReceivedAt + this->Route->Timeout;
+  return std::visit(
+      base::Visitor{[this](ResolvedRequest Found) {
+                      this->setResolved(std::move(Found));
+                      return true;
+                    },
+                    [this](CatalogRejection Why) {
+                      this->rejectByCatalog(std::move(Why));
+                      return false;
+                    }},
+      resolveRequest(this->Context.Catalog, this->Asked, this->Facts.Secret));
+}
+
+void Exchange::setResolved(ResolvedRequest New) {
+  this->Resolved = std::move(New);
+  this->Deadline = this->ReceivedAt + this->route().Timeout;
   if (this->Facts.TimeLeft)
     this->Deadline =
         std::min(this->Deadline, this->ReceivedAt + *this->Facts.TimeLeft);
   this->chooseService();
-  return true;
 }
 
-bool Exchange::resolveAccount() {
-  this->Account = nullptr;
-  if (this->Route->Public || this->Catalog->Accounts.empty())
-    return true;
-  this->Account = this->Catalog->accountOfSecret(this->Facts.Secret);
-  if (this->Account != nullptr)
-    return true;
-  this->rejectByCatalog(Unauthorized, "unknown-key");
-  return false;
-}
-
-void Exchange::rejectByCatalog(int Status, std::string_view Reason) {
+/// If the catalog may be out of date, asks the caller to retry instead.
+void Exchange::rejectByCatalog(CatalogRejection Why) {
+  if (this->Ended)
+    return;
+  this->Rejection = std::move(Why);
   const ForwarderSettings &Settings = this->Context.Settings;
   bool Proven =
       this->now() < this->Context.CatalogProvenAt + Settings.CatalogProofFor;
   if (Proven)
-    this->refuse(Status, Reason);
+    this->refuse(this->Rejection->Status, this->Rejection->Reason);
   else
     this->refuse(Unavailable, "catalog-unproven",
                  Settings.Waits.DefaultRetryAfter);
@@ -195,14 +186,14 @@
 
 void Exchange::chooseService() {
   std::int64_t WeightSum = 0;
-  for (const catalog::WeightedService &Each : this->Route->Services)
+  for (const catalog::WeightedService &Each : this->route().Services)
     WeightSum += std::max<std::int64_t>(0, Each.Weight);
-  this->Service = this->Route->Services.front().Service;
+  this->Service = this->route().Services.front().Service;
   if (WeightSum <= 0)
     return;
   std::uniform_int_distribution<std::int64_t> Draw(0, WeightSum - 1);
   std::int64_t Left = Draw(this->Context.Random);
-  for (const catalog::WeightedService &Each : this->Route->Services) {
+  for (const catalog::WeightedService &Each : this->route().Services) {
     Left -= std::max<std::int64_t>(0, Each.Weight);
     if (Left < 0) {
       this->Service = Each.Service;
@@ -212,29 +203,30 @@
 }
 
 std::int64_t Exchange::tokenCost() const {
-  return forwarding::tokenCost(this->Facts, *this->Account);
+  return forwarding::tokenCost(this->Facts, *this->account());
 }
 
 void Exchange::admit() {
-  if (this->Account == nullptr || this->Account->RatePerSecond <= 0) {
+  auto Limited = this->Resolved->limitedAccount();
+  if (!Limited) {
     this->admitted();
     return;
   }
   base::TimePoint Now = this->now();
   admission::TokenWait Wait;
   Wait.Request = this->LocalId;
-  Wait.Account = this->Account->Id;
+  Wait.Account = *Limited;
   Wait.Cost = base::Tokens{this->tokenCost()};
   Wait.StartBy =
       Now + std::chrono::duration_cast<base::Duration>(
                 this->patience() * this->Context.Settings.TokenWaitFraction);
   this->Context.AwaitingTokens[this->LocalId] = this->shared_from_this();
-  this->Context.Usage.add(*this->Account, std::move(Wait), Now);
+  this->Context.Usage.add(*this->account(), std::move(Wait), Now);
   this->Context.Admit();
 }
 
 void Exchange::admitted() {
-  this->UsageTaken = this->Account != nullptr;
+  this->UsageTaken = this->account() != nullptr;
   this->countUse();
   if (!this->refuseIfOverloaded())
     this->dispatch();
@@ -244,7 +236,7 @@
 /// publishes figures, and only of models of the catalog, as callers may name
 /// any.
 bool Exchange::countsArrivals() const {
-  const catalog::Service *Of = this->Catalog->service(this->Service);
+  const catalog::Service *Of = this->Resolved->Catalog->service(this->Service);
   return Of != nullptr && Of->Engine &&
          Of->Engine->Models.count(this->Facts.Model) != 0 &&
          this->Context.Selector.hasFigures(this->Service, this->now());
@@ -255,9 +247,7 @@
     return false;
   std::uniform_real_distribution<double> Draw(0, 1);
   overload::AdmissionRequest Request{
-      {this->Service, this->Facts.Model},
-      this->urgency(),
-      this->Account == nullptr ? base::AccountId{} : this->Account->Id};
+      {this->Service, this->Facts.Model}, this->urgency(), this->accountId()};
   auto RetryAfter = this->Context.Admission.refuses(
       Request, Draw(this->Context.Random), this->now());
   if (!RetryAfter)
@@ -268,7 +258,7 @@
 }
 
 void Exchange::tokensRefused(std::chrono::milliseconds RetryAfter) {
-  this->Credit = this->Context.Usage.standing(this->Account->Id, this->now());
+  this->Credit = this->Context.Usage.standing(this->accountId(), this->now());
   this->refuse(TooManyRequests, "account-limit", RetryAfter);
 }
 
@@ -352,7 +342,7 @@
 milliseconds Exchange::patience() const {
   base::TimePoint Now = this->now();
   return this->Context.Waits.patience(
-      *this->Route,
+      this->route(),
       std::chrono::duration_cast<milliseconds>(Now - this->ReceivedAt),
       std::chrono::duration_cast<milliseconds>(this->Deadline - Now));
 }
@@ -360,7 +350,7 @@
 /// Duration of a load of the missing model or adapter that has not begun. An
 /// adapter of a model that is held loads almost at once.
 milliseconds Exchange::loadTime() const {
-  const catalog::Service *Of = this->Catalog->service(this->Service);
+  const catalog::Service *Of = this->Resolved->Catalog->service(this->Service);
   bool Held = this->Context.Selector.isModelHeld(this->query(), this->now());
   if (Of == nullptr || !Of->Engine || Held)
     return milliseconds(0);
@@ -374,7 +364,7 @@
   dispatch::WaitContext Out;
   Out.For = this->WaitsFor;
   Out.Patience = this->patience();
-  Out.Objective = this->Route->Objective;
+  Out.Objective = this->route().Objective;
   if (this->CapacityAt)
     Out.CapacityIn = std::max(
         milliseconds(1),
@@ -411,8 +401,7 @@
   base::TimePoint Now = this->now();
   admission::QueueEntry Entry;
   Entry.Request = this->LocalId;
-  Entry.Account =
-      this->Account == nullptr ? base::AccountId{} : this->Account->Id;
+  Entry.Account = this->accountId();
   Entry.Priority = this->urgency();
   Entry.Cost = base::Tokens{std::max<std::int64_t>(
       1, this->Facts.PromptTokens.value_or(base::Tokens{1}).Value)};
@@ -463,7 +452,7 @@
 // --- Sending ---------------------------------------------------------------
 
 unsigned Exchange::urgency() const {
-  return urgencyOf(*this->Route, this->Account);
+  return urgencyOf(this->route(), this->account());
 }
 
 SendFacts Exchange::sendFacts(base::TimePoint Now) const {
@@ -473,8 +462,7 @@
   Out.TimeLeft = std::max(std::chrono::milliseconds(1),
                           std::chrono::duration_cast<std::chrono::milliseconds>(
                               this->Deadline - Now));
-  if (this->Account != nullptr)
-    Out.Account = this->Account->Id;
+  Out.Account = this->accountId();
   Out.Urgency = this->urgency();
   if (this->AnswerBegun)
     Out.LastEventId = this->Events.lastId();
@@ -507,7 +495,7 @@
             {{"target", To.Value},
              {"attempt", Current},
              {"waited_ms", base::millisOf(Now - this->ReceivedAt)},
-             {"catalog", this->Catalog->Version.Value},
+             {"catalog", this->Resolved->Catalog->Version.Value},
              {"catalog_proven_ms_ago",
               base::millisOf(Now - this->Context.CatalogProvenAt)},
              {"targets", this->Context.Targets->Revision},
@@ -562,8 +550,8 @@
     this->RefusedOn.insert(this->Call->connection());
     return;
   }
-  if (this->Account != nullptr && !std::exchange(this->CountedAsBegun, true))
-    this->Context.countBegun(this->Account->Id, this->now());
+  if (this->account() != nullptr && !std::exchange(this->CountedAsBegun, true))
+    this->Context.countBegun(this->accountId(), this->now());
   bool Success = isSuccess(NewHead.Status);
   if (Success && !Said.Proven) {
     this->failAttempt("unproven-answer");
@@ -575,7 +563,7 @@
   }
   bool TooLarge =
       NewHead.length().value_or(0) > this->Context.AnswerSizes.maxHeld();
-  if (!Success || (!this->Route->Streaming && !TooLarge)) {
+  if (!Success || (!this->route().Streaming && !TooLarge)) {
     this->State = AnswerState::Held;
     return;
   }
@@ -614,7 +602,7 @@
   this->AnswerBegun = true;
   this->FirstByteAt = this->now();
   this->AnswerResumable =
-      this->Route->Repeats == catalog::Repetition::Resumable &&
+      this->route().Repeats == catalog::Repetition::Resumable &&
       this->isEventStream();
   this->CallerFraming = this->Head.Framing;
   // A resumable stream may continue with another target's bytes, so that its
@@ -686,7 +674,7 @@
 }
 
 bool Exchange::isEventStream() const {
-  return forwarding::isEventStream(this->Head, this->Route->Streaming);
+  return forwarding::isEventStream(this->Head, this->route().Streaming);
 }
 
 void Exchange::cancelCall() {
@@ -795,7 +783,7 @@
                 isSuccess(this->Head.Status) &&
                 this->AnswerEnd == http::ForwardEnd::Complete;
   if (Proven)
-    this->Context.AnswerTimes.onAnswered(this->Route->Id, Now - this->SentAt,
+    this->Context.AnswerTimes.onAnswered(this->route().Id, Now - this->SentAt,
                                          Now);
   if (Proven && this->Context.Quarantine.onServed(this->SharedParts, Now))
     this->Context.TellEvidence();
@@ -818,17 +806,18 @@
 bool Exchange::mayRetry(unsigned RunsSoFar) const {
   bool Allowed = this->AnswerBegun
                      ? this->AnswerResumable
-                     : this->Route->Repeats != catalog::Repetition::Never;
+                     : this->route().Repeats != catalog::Repetition::Never;
   if (this->EndedTargets >= MaxEndedTargets && RunsSoFar > 1)
     return false;
-  return Allowed && RunsSoFar < this->Route->MaxAttempts &&
+  return Allowed && RunsSoFar < this->route().MaxAttempts &&
          this->now() + MinAttemptTime < this->Deadline;
 }
 
 bool Exchange::takeFromRetryBudget(unsigned RunsSoFar) {
   bool Paid = this->Context.Retries.take(this->Service, this->now());
-  if (Paid && RunsSoFar > 0 && this->Account != nullptr)
-    this->Context.Usage.charge(*this->Account, this->tokenCost(), this->now());
+  if (Paid && RunsSoFar > 0 && this->account() != nullptr)
+    this->Context.Usage.charge(*this->account(), this->tokenCost(),
+                               this->now());
   // A silent attempt asks again and again.
   if (!Paid && !std::exchange(this->RetryRefused, true))
     this->log(base::LogLevel::Info, "repeat-refused",
@@ -953,7 +942,7 @@
     return milliseconds(0);
   base::TimePoint Now = this->now();
   return this->Context.Waits.patience(
-      *this->Route,
+      this->route(),
       std::chrono::duration_cast<milliseconds>(Now - this->ForwardedAt),
       std::chrono::duration_cast<milliseconds>(this->Deadline - Now));
 }
@@ -993,8 +982,8 @@
 
 std::chrono::milliseconds Exchange::silenceLimit() const {
   const ForwarderSettings &Settings = this->Context.Settings;
-  auto Objective =
-      this->AnswerBegun ? this->Route->PauseObjective : this->Route->Objective;
+  auto Objective = this->AnswerBegun ? this->route().PauseObjective
+                                     : this->route().Objective;
   double Slowness =
       this->Target ? this->Context.Selector.slowness(*this->Target, this->now())
                    : 1;
@@ -1014,7 +1003,7 @@
         Next, std::max(this->ProgressAt + this->silenceLimit(),
                        this->SilenceCheckAt) -
                   Now);
-  else if (this->Route->Repeats != catalog::Repetition::Never)
+  else if (this->route().Repeats != catalog::Repetition::Never)
     Next = std::min<base::Duration>(Next, this->silenceLimit());
   if (auto RetryAt = this->Resumption.dueAt())
     Next = std::min(Next, *RetryAt - Now);
@@ -1099,8 +1088,9 @@
   this->Ended = true;
   auto Self = this->shared_from_this();
   bool CertainlyUnrun = this->Runs == 0 && !this->Target;
-  if (this->UsageTaken && CertainlyUnrun && this->Account != nullptr)
-    this->Context.Usage.putBack(*this->Account, this->tokenCost(), this->now());
+  if (this->UsageTaken && CertainlyUnrun && this->account() != nullptr)
+    this->Context.Usage.putBack(*this->account(), this->tokenCost(),
+                                this->now());
   this->leaveQueue();
   this->Resumption.stop();
   if (this->Context.AwaitingTokens.erase(this->LocalId) > 0)
@@ -1108,7 +1098,7 @@
   this->Timer.cancel();
   this->cancelCall();
   base::TimePoint Now = this->now();
-  std::string RouteName = this->Route == nullptr ? "" : this->Route->Id.Value;
+  std::string RouteName = this->routeId().Value;
   this->Context.Metrics
       .counter("requests", {{"route", RouteName},
                             {"outcome", std::string(Outcome)},
@@ -1132,12 +1122,14 @@
   if (this->FirstByteAt)
     Fields["first_byte_ms"] =
         base::millisOf(*this->FirstByteAt - this->ReceivedAt);
-  if (!RouteName.empty()) {
+  if (!RouteName.empty())
     Fields["route"] = RouteName;
-    Fields["catalog"] = this->Catalog->Version.Value;
-  }
-  if (this->Account != nullptr)
-    Fields["account"] = this->Account->Id.Value;
+  if (this->Rejection)
+    Fields["catalog"] = this->Rejection->Version.Value;
+  else if (this->Resolved)
+    Fields["catalog"] = this->Resolved->Catalog->Version.Value;
+  if (this->account() != nullptr)
+    Fields["account"] = this->accountId().Value;
   if (this->Credit) {
     Fields["credit"] = dispatch::creditShortageName(this->Credit->Why);
     Fields["credit_held"] = this->Credit->Held;
@@ -1158,6 +1150,17 @@
   }
 }
 
+base::RouteId Exchange::routeId() const {
+  if (this->Resolved)
+    return this->Resolved->Route->Id;
+  return this->Rejection ? this->Rejection->Route : base::RouteId{};
+}
+
+base::AccountId Exchange::accountId() const {
+  const catalog::Account *Of = this->account();
+  return Of == nullptr ? base::AccountId{} : Of->Id;
+}
+
 std::string_view Exchange::framingForLog() const {
   return this->State == AnswerState::NoAnswer
              ? ""
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "forwarding/eventframer.h"
+#include "resolvedrequest.h"
 #include "resumptionwait.h"
 #include "trafficcontext.h"
 
@@ -70,11 +71,19 @@
   enum class RetryPayment { Due, Taken };
 
   base::TimePoint now() const { return this->Context.Clock.now(); }
+  /// Only if the request has been resolved.
+  const catalog::Route &route() const { return *this->Resolved->Route; }
+  /// Null if the request has no account.
+  const catalog::Account *account() const {
+    return this->Resolved ? this->Resolved->Account : nullptr;
+  }
+  /// Empty if the request has no account.
+  base::AccountId accountId() const;
+  /// Empty if no route is known.
+  base::RouteId routeId() const;
   bool resolve();
-  bool resolveAccount();
-  /// Rejects a request for an unknown route or key; if the catalog may be out
-  /// of date, asks the caller to retry instead.
-  void rejectByCatalog(int Status, std::string_view Reason);
+  void setResolved(ResolvedRequest New);
+  void rejectByCatalog(CatalogRejection Why);
   /// Whether its answer ends before a stopping process cuts it, as far as is
   /// known.
   bool endsBeforeStop() const;
@@ -171,9 +180,10 @@
   base::TimePoint ReceivedAt;
   base::TimePoint Deadline;
 
-  catalog::CatalogPtr Catalog;
-  const catalog::Route *Route = nullptr;
-  const catalog::Account *Account = nullptr;
+  /// By the last catalog that allowed the request; none before that.
+  std::optional<ResolvedRequest> Resolved;
+  /// Set if the request was refused by a catalog.
+  std::optional<CatalogRejection> Rejection;
   catalog::ServiceId Service;
   bool UsageTaken = false;
   /// Set if the request was refused for its account's limit.
