Forwarding: a waiting request is paid for by the account for which it runs

A manifest can withdraw a key, give it to another account, make a route public or lift a limit while requests wait. Then credit was lost (withdrawn key: the account was forgotten before the refusal), an account paid for a request that ran for nobody or for another, and requests that waited for tokens kept the catalog of their arrival: they were refused, or waited for credit, under rules that no longer existed.

Cause: a flag said that tokens had been taken, and the account of the moment was credited at the end; a new catalog was applied only to those that wait for a target.

Change: an exchange keeps what was taken, from whom and how much (admission::TokensTaken), and returns exactly that. A new catalog is applied to all that wait, in order of arrival, before the first of them goes on. Where another account pays, the tokens go back and the request is admitted anew. Tokens taken for a request that has ended are returned, too.

--- a/src/dispatch/internal/usageadmission.cpp
+++ b/src/dispatch/internal/usageadmission.cpp
@@ -150,12 +150,10 @@
   this->Book.putBack(admission::accountTokens(Account.Id), -Amount);
 }
 
-void UsageAdmission::putBack(const catalog::Account &Account,
-                             std::int64_t Amount, base::TimePoint Now) {
-  auto Burst = static_cast<std::int64_t>(Account.Burst);
-  this->History.add(Account.Id, -std::min(Amount, Burst), Now);
-  this->Book.putBack(admission::accountTokens(Account.Id),
-                     std::min(Amount, Burst));
+void UsageAdmission::putBack(const admission::TokensTaken &Taken,
+                             base::TimePoint Now) {
+  this->History.add(Taken.Account, -Taken.Cost.Value, Now);
+  this->Book.putBack(admission::accountTokens(Taken.Account), Taken.Cost.Value);
 }
 
 std::vector<UsedAmount> UsageAdmission::onNewHolder(base::TimePoint Now) {
--- a/src/dispatch/usageadmission.h
+++ b/src/dispatch/usageadmission.h
@@ -92,8 +92,7 @@
   void charge(const catalog::Account &Account, std::int64_t Amount,
               base::TimePoint Now);
   /// Returns the tokens of a request that has certainly not run.
-  void putBack(const catalog::Account &Account, std::int64_t Amount,
-               base::TimePoint Now);
+  void putBack(const admission::TokensTaken &Taken, base::TimePoint Now);
   /// Returns how long the answer has taken, unless a later request is pending.
   std::optional<base::Duration> onCredit(const base::AccountId &Account,
                                          const CreditGrant &Grant,
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -209,7 +209,7 @@
 void Exchange::admit() {
   auto Limited = this->Resolved->limitedAccount();
   if (!Limited) {
-    this->admitted();
+    this->admitted(std::nullopt);
     return;
   }
   base::TimePoint Now = this->now();
@@ -225,13 +225,26 @@
   this->Context.Admit();
 }
 
-void Exchange::admitted() {
-  this->UsageTaken = this->account() != nullptr;
-  this->countUse();
-  if (!this->refuseIfOverloaded())
+void Exchange::admitted(std::optional<admission::TokensTaken> Taken) {
+  this->Admitted = true;
+  this->Tokens = std::move(Taken);
+  bool First = !std::exchange(this->UseCounted, true);
+  if (First)
+    this->countUse();
+  if (!First || !this->refuseIfOverloaded())
     this->dispatch();
 }
 
+void Exchange::stopAwaitingTokens() {
+  if (this->Context.AwaitingTokens.erase(this->LocalId) > 0)
+    this->Context.Usage.remove(this->LocalId);
+}
+
+void Exchange::returnTokens() {
+  if (auto Unused = std::exchange(this->Tokens, std::nullopt))
+    this->Context.Usage.putBack(*Unused, this->now());
+}
+
 /// Whether arrivals of the request's model are counted: where the holder
 /// publishes figures, and only of models of the catalog, as callers may name
 /// any.
@@ -295,9 +308,26 @@
   return Out;
 }
 
-void Exchange::reconsider() {
-  if (this->Runs == 0 && !this->AnswerBegun && !this->Target)
-    this->resolve();
+bool Exchange::reconsider() {
+  if (this->Ended || this->Runs > 0 || this->AnswerBegun || this->Target)
+    return false;
+  auto PaidBy = this->Resolved->limitedAccount();
+  if (!this->resolve() || this->Resolved->limitedAccount() == PaidBy)
+    return false;
+  this->leaveQueue();
+  this->stopAwaitingTokens();
+  this->returnTokens();
+  this->Admitted = false;
+  return true;
+}
+
+void Exchange::proceed() {
+  if (this->Ended)
+    return;
+  if (this->Admitted)
+    this->dispatch();
+  else
+    this->admit();
 }
 
 bool Exchange::selectTarget() {
@@ -1088,13 +1118,11 @@
   this->Ended = true;
   auto Self = this->shared_from_this();
   bool CertainlyUnrun = this->Runs == 0 && !this->Target;
-  if (this->UsageTaken && CertainlyUnrun && this->account() != nullptr)
-    this->Context.Usage.putBack(*this->account(), this->tokenCost(),
-                                this->now());
+  if (CertainlyUnrun)
+    this->returnTokens();
   this->leaveQueue();
   this->Resumption.stop();
-  if (this->Context.AwaitingTokens.erase(this->LocalId) > 0)
-    this->Context.Usage.remove(this->LocalId);
+  this->stopAwaitingTokens();
   this->Timer.cancel();
   this->cancelCall();
   base::TimePoint Now = this->now();
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -31,12 +31,16 @@
 
   void start();
   /// The account's tokens have been taken, or none are needed.
-  void admitted();
+  void admitted(std::optional<admission::TokensTaken> Taken);
   /// The account's tokens are not available in time.
   void tokensRefused(std::chrono::milliseconds RetryAfter);
-  /// Applies a new catalog, unless the request is at a target or may have run
-  /// already.
-  void reconsider();
+  /// Applies a new catalog to a request that waits for tokens or for a target,
+  /// unless it may have run already. Returns whether the request no longer
+  /// waits, so that proceed() has to be called.
+  bool reconsider();
+  /// Goes on with a request that reconsider() has taken out of its queue.
+  void proceed();
+  base::TimePoint receivedAt() const { return this->ReceivedAt; }
   /// Selects a target that can take the request now; returns false if there is
   /// none.
   bool selectTarget();
@@ -84,6 +88,9 @@
   bool resolve();
   void setResolved(ResolvedRequest New);
   void rejectByCatalog(CatalogRejection Why);
+  void stopAwaitingTokens();
+  /// Returns the tokens of a request that has certainly not run.
+  void returnTokens();
   /// Whether its answer ends before a stopping process cuts it, as far as is
   /// known.
   bool endsBeforeStop() const;
@@ -185,7 +192,10 @@
   /// Set if the request was refused by a catalog.
   std::optional<CatalogRejection> Rejection;
   catalog::ServiceId Service;
-  bool UsageTaken = false;
+  bool Admitted = false;
+  bool UseCounted = false;
+  /// What the request has taken of an account's credit.
+  std::optional<admission::TokensTaken> Tokens;
   /// Set if the request was refused for its account's limit.
   std::optional<dispatch::CreditStanding> Credit;
 
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "base/visitor.h"
 #include "exchange.h"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <utility>
 
@@ -91,10 +92,7 @@
   void setCatalog(catalog::CatalogPtr New) override {
     this->Context.Catalog = New;
     this->Context.Selector.setCatalog(std::move(New));
-    // A copy, as requests that end are removed from the original.
-    auto Waiting = this->Context.Waiting;
-    for (const auto &[LocalId, Each] : Waiting)
-      Each->reconsider();
+    this->reconsiderWaiting();
     this->serveQueue();
   }
 
@@ -213,14 +211,34 @@
         Draw(this->Context.Random));
   }
 
+  /// Applies a new catalog to requests that wait, in order of arrival. The
+  /// first proceeds after the last has been looked at, so that no tokens and no
+  /// place are taken by the catalog before.
+  void reconsiderWaiting() {
+    std::vector<std::shared_ptr<Exchange>> All;
+    for (const auto *Waiting :
+         {&this->Context.Waiting, &this->Context.AwaitingTokens})
+      for (const auto &[LocalId, Each] : *Waiting)
+        All.push_back(Each);
+    std::stable_sort(All.begin(), All.end(),
+                     [](const auto &Left, const auto &Right) {
+                       return Left->receivedAt() < Right->receivedAt();
+                     });
+    std::erase_if(All, [](const auto &Each) { return !Each->reconsider(); });
+    for (const std::shared_ptr<Exchange> &Each : All)
+      Each->proceed();
+  }
+
   /// Decides on requests that wait for tokens, and requests or returns credit.
   void admit() {
     base::TimePoint Now = this->Context.Clock.now();
     for (const admission::TokenOutcome &Each : this->Context.Usage.tick(Now))
       std::visit(base::Visitor{
-                     [this](const admission::TokensTaken &Taken) {
+                     [this, Now](const admission::TokensTaken &Taken) {
                        if (auto Of = this->takeAwaitingTokens(Taken.Request))
-                         Of->admitted();
+                         Of->admitted(Taken);
+                       else
+                         this->Context.Usage.putBack(Taken, Now);
                      },
                      [this](const admission::TokensRefused &Refused) {
                        if (auto Of = this->takeAwaitingTokens(Refused.Request))
--- a/src/forwarding/tests/catalogchangetest.cpp
+++ b/src/forwarding/tests/catalogchangetest.cpp
@@ -150,3 +150,63 @@
   EXPECT_EQ(this->statusOf(Waiting), 404);
   EXPECT_TRUE(this->isPaidBack());
 }
+
+/// Tokens were lost when the key, and with it the account, was looked up in
+/// vain.
+TEST_F(CatalogChangeTest,
+       AWaitingRequestWhoseKeyIsWithdrawnIsRefusedAndUnpaid) {
+  auto Waiting = this->askAndPay("b");
+  this->applyCatalog(
+      [](catalog::Catalog &New) { New.AccountByKeyHash.clear(); });
+  EXPECT_EQ(this->statusOf(Waiting), 401);
+  EXPECT_TRUE(this->isPaidBack());
+}
+
+/// The account paid for a request that was no longer its own.
+TEST_F(CatalogChangeTest, ARequestOnARouteThatBecomesPublicIsPaidByNobody) {
+  auto Waiting = this->askAndPay("b");
+  this->applyCatalog(
+      [](catalog::Catalog &New) { New.Routes.back().Public = true; });
+  this->serve({"s"});
+  EXPECT_EQ(this->statusOf(Waiting), 200);
+  ASSERT_EQ(this->arrivals(), 1U);
+  EXPECT_EQ(this->Targets[0].Received[0].header("Account"), "");
+  EXPECT_TRUE(this->isPaidBack());
+}
+
+/// The request ran for another account than the one that paid.
+TEST_F(CatalogChangeTest, ARequestIsPaidByTheAccountForWhichItRuns) {
+  auto Waiting = this->askAndPay("b");
+  this->applyCatalog([](catalog::Catalog &New) {
+    New.AccountByKeyHash[catalog::keyHash("k")] = {"other"};
+  });
+  this->serve({"s"});
+  this->waitUntilAskedForCredit("other");
+  EXPECT_EQ(this->arrivals(), 0U);
+  auto Ask = std::get<admission::AskCredit>(this->Credits.back());
+  this->Traffic->onCredits({{{"other"}, {100, milliseconds(0)}, Ask.Request}});
+  EXPECT_EQ(this->statusOf(Waiting), 200);
+  ASSERT_EQ(this->arrivals(), 1U);
+  EXPECT_EQ(this->Targets[0].Received[0].header("Account"), "other");
+  EXPECT_TRUE(this->isPaidBack());
+}
+
+/// Requests that waited for tokens were not looked at.
+TEST_F(CatalogChangeTest, ARequestThatWaitsForTokensIsRefusedWithItsRoute) {
+  auto Waiting = this->ask("b");
+  this->waitUntilAskedForCredit("acme");
+  this->applyCatalog([](catalog::Catalog &New) { New.Routes.pop_back(); });
+  EXPECT_EQ(this->statusOf(Waiting), 404);
+}
+
+/// A limit that is lifted ends the wait for its tokens.
+TEST_F(CatalogChangeTest, ARequestWaitsForNoTokensOnceTheLimitIsLifted) {
+  this->serve({"s"});
+  auto Waiting = this->ask("a");
+  this->waitUntilAskedForCredit("acme");
+  EXPECT_EQ(this->arrivals(), 0U);
+  this->applyCatalog([](catalog::Catalog &New) {
+    New.Accounts.at({"acme"}).RatePerSecond = 0;
+  });
+  EXPECT_EQ(this->statusOf(Waiting), 200);
+}
