Forwarding: waiting requests change lines only if their service changes

Each new catalog drew the service of every waiting request anew, also where its route was the same: requests of a split route left a service that had no target with any unrelated change, so that the split did not hold. A request whose route moved to another service kept its place in the line of the service before, and waited behind requests that only that service can serve.

Change: the draw is kept while the route names the same services and weights. A request whose service, urgency or account changes leaves its line and is placed anew.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -41,6 +41,7 @@
   /// Share of the route's requests, relative to the weights of the other
   /// services.
   std::int64_t Weight = 1;
+  bool operator==(const WeightedService &) const = default;
 };
 
 struct Route {
--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -161,12 +161,17 @@
 }
 
 void Exchange::setResolved(ResolvedRequest New) {
+  // Requests that are drawn again would move between services, and lose their
+  // place in the queue, with each unrelated change.
+  bool MayKeepService =
+      this->Resolved && this->route().Services == New.Route->Services;
   this->Resolved = std::move(New);
   this->Deadline = this->ReceivedAt + this->route().Timeout;
   if (this->Facts.TimeLeft)
     this->Deadline =
         std::min(this->Deadline, this->ReceivedAt + *this->Facts.TimeLeft);
-  this->chooseService();
+  if (!MayKeepService)
+    this->chooseService();
 }
 
 /// If the catalog may be out of date, asks the caller to retry instead.
@@ -288,6 +293,10 @@
 
 // --- Placing ---------------------------------------------------------------
 
+Exchange::QueuePlace Exchange::queuePlace() const {
+  return {this->accountId(), this->pool(), this->urgency()};
+}
+
 std::string Exchange::pool() const {
   return this->Service.Value + "|" + this->Facts.Model.Value + "|" +
          this->Facts.Adapter.Value;
@@ -312,12 +321,24 @@
   if (this->Ended || this->Runs > 0 || this->AnswerBegun || this->Target)
     return false;
   auto PaidBy = this->Resolved->limitedAccount();
-  if (!this->resolve() || this->Resolved->limitedAccount() == PaidBy)
+  QueuePlace Before = this->queuePlace();
+  if (!this->resolve())
+    return false;
+  bool SamePayer = this->Resolved->limitedAccount() == PaidBy;
+  bool SamePlace = !this->Admitted || this->queuePlace() == Before;
+  if (SamePayer && SamePlace)
     return false;
+  this->log(base::LogLevel::Info, "resolved-again",
+            {{"catalog", this->Resolved->Catalog->Version.Value},
+             {"service", this->Service.Value},
+             {"account", this->accountId().Value},
+             {"account_before", Before.Account.Value}});
   this->leaveQueue();
-  this->stopAwaitingTokens();
-  this->returnTokens();
-  this->Admitted = false;
+  if (!SamePayer) {
+    this->stopAwaitingTokens();
+    this->returnTokens();
+    this->Admitted = false;
+  }
   return true;
 }
 
--- a/src/forwarding/internal/exchange.h
+++ b/src/forwarding/internal/exchange.h
@@ -75,6 +75,14 @@
   enum class RetryPayment { Due, Taken };
 
   base::TimePoint now() const { return this->Context.Clock.now(); }
+  /// What determines where in the queue a request waits.
+  struct QueuePlace {
+    base::AccountId Account;
+    std::string Pool;
+    unsigned Urgency = 0;
+    bool operator==(const QueuePlace &) const = default;
+  };
+
   /// Only if the request has been resolved.
   const catalog::Route &route() const { return *this->Resolved->Route; }
   /// Null if the request has no account.
@@ -105,6 +113,7 @@
   dispatch::TargetQuery query() const;
   /// What requests wait for in line: the model and adapter of a service.
   std::string pool() const;
+  QueuePlace queuePlace() const;
   unsigned urgency() const;
 
   /// Refuses the request if less of the demand for its model is admitted.
--- a/src/forwarding/tests/catalogchangetest.cpp
+++ b/src/forwarding/tests/catalogchangetest.cpp
@@ -210,3 +210,47 @@
   });
   EXPECT_EQ(this->statusOf(Waiting), 200);
 }
+
+/// A request kept its place among those of the service before, and waited for
+/// their targets.
+TEST_F(CatalogChangeTest, AMovedRequestWaitsInTheLineOfItsNewService) {
+  this->applyCatalog([](catalog::Catalog &New) { New.Accounts.clear(); });
+  this->serve({"s2"});
+  auto Ahead = this->ask("a");
+  this->Loop.run_for(milliseconds(30));
+  auto Moved = this->ask("b");
+  this->Loop.run_for(milliseconds(30));
+  this->applyCatalog([](catalog::Catalog &New) {
+    New.Accounts.clear();
+    New.Routes.back().Services = {{{"s2"}, 1}};
+  });
+  EXPECT_EQ(this->statusOf(Moved), 200);
+  EXPECT_FALSE(Ahead->Answer);
+}
+
+/// Each change drew the service of all waiting requests anew, so that all of
+/// them left the service that had no target.
+TEST_F(CatalogChangeTest, AnUnrelatedChangeDoesNotMoveRequestsOfASplitRoute) {
+  auto Split = [](catalog::Catalog &New) {
+    New.Accounts.clear();
+    New.Routes.back().Services = {{{"s"}, 1}, {{"s2"}, 1}};
+  };
+  this->applyCatalog(Split);
+  this->serve({"s2"});
+  std::vector<std::shared_ptr<Pending>> All;
+  constexpr int Requests = 40;
+  for (int Each = 0; Each < Requests; ++Each)
+    All.push_back(this->ask("b"));
+  auto Answered = [&] {
+    return std::count_if(All.begin(), All.end(),
+                         [](const auto &Each) { return Each->Answer; });
+  };
+  this->Loop.run_for(milliseconds(150));
+  auto Before = Answered();
+  ASSERT_LT(Before, Requests);
+  for (int Each = 0; Each < 10; ++Each) {
+    this->applyCatalog(Split);
+    this->Loop.run_for(milliseconds(10));
+  }
+  EXPECT_EQ(Answered(), Before);
+}
