Forwarding: a shorter timeout of a route holds for requests that wait

A waiting request was held until the timeout that its route had when it arrived, as only the deadline was changed and not the timer.

Change: reconsider() sets the timer again.

Evidence: the test fails on: the caller is told "no-target" after the longest wait instead of "timeout" at the new timeout of 150 ms.

--- a/src/forwarding/internal/exchange.cpp
+++ b/src/forwarding/internal/exchange.cpp
@@ -324,6 +324,8 @@
   QueuePlace Before = this->queuePlace();
   if (!this->resolve())
     return false;
+  // The route's timeout may have changed.
+  this->armTimer();
   bool SamePayer = this->Resolved->limitedAccount() == PaidBy;
   bool SamePlace = !this->Admitted || this->queuePlace() == Before;
   if (SamePayer && SamePlace)
--- a/src/forwarding/tests/catalogchangetest.cpp
+++ b/src/forwarding/tests/catalogchangetest.cpp
@@ -254,3 +254,15 @@
   }
   EXPECT_EQ(Answered(), Before);
 }
+
+/// The timer went by the timeout that the route had before.
+TEST_F(CatalogChangeTest, AShorterTimeoutHoldsForRequestsThatWait) {
+  auto Waiting = this->askAndPay("b");
+  auto ChangedAt = std::chrono::steady_clock::now();
+  this->applyCatalog([](catalog::Catalog &New) {
+    New.Routes.back().Timeout = milliseconds(150);
+  });
+  EXPECT_EQ(this->statusOf(Waiting), 503);
+  EXPECT_EQ(Waiting->Answer->Body, "timeout");
+  EXPECT_LT(std::chrono::steady_clock::now() - ChangedAt, milliseconds(500));
+}
