Control: an instance that cannot be reached leaves the lease to others

Callers: where a link's port was taken, the instance ended by a null pointer once it gained the lease; another one then claimed it. If no link could listen, all instances of a fleet ended one after another.

Cause: a link that could not be opened was logged and left alone. HolderRole::checkLease() used it. Without that fault the instance would have renewed a lease under which nobody could report to it.

Change: an instance whose link is not open does not claim the lease, and tries to open it again every second. Meanwhile it goes by what others report or, if nobody can, by its own reads of the store.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -106,6 +106,8 @@
   /// The lease record in the store is not followed until the holder was silent
   /// for this long.
   std::chrono::milliseconds HolderTimeout{1000};
+  /// How often an instance whose link could not be opened tries again.
+  std::chrono::milliseconds ListenInterval{1000};
   /// A tick delay from which on the process is considered to have been stopped.
   std::chrono::milliseconds StopThreshold{800};
 };
--- a/src/control/internal/control.cpp
+++ b/src/control/internal/control.cpp
@@ -50,9 +50,7 @@
   void start() override {
     this->Role.onReportedPosition(
         [this](StorePosition Reported) { this->onReportedPosition(Reported); });
-    if (auto Listening = this->Role.listen(this->Messages); !Listening)
-      base::logEvent(base::LogLevel::Error, "link-not-listening",
-                     {{"why", Listening.error().Message}});
+    this->listen();
     this->Role.onReportedServed(
         [this](base::TimePoint At) { this->onServed(At); });
     StoreEvents Events;
@@ -139,6 +137,23 @@
       this->Role.announceGivenUpLease();
   }
 
+  /// Opens the link, or tries it again some time after a failure.
+  void listen() {
+    base::TimePoint Now = this->Clock.now();
+    bool Due = !this->ListenFailedAt ||
+               Now >= *this->ListenFailedAt + this->Settings.ListenInterval;
+    if (this->Role.isListening() || !Due)
+      return;
+    auto Listening = this->Role.listen(this->Messages);
+    if (!Listening && !this->ListenFailedAt)
+      base::logEvent(base::LogLevel::Error, "link-not-listening",
+                     {{"why", Listening.error().Message}});
+    if (Listening && this->ListenFailedAt)
+      base::logEvent(base::LogLevel::Info, "link-listening",
+                     {{"endpoint", this->Settings.LinkEndpoint}});
+    this->ListenFailedAt = Listening ? std::nullopt : std::optional(Now);
+  }
+
   void checkReady() {
     if (this->HasTargets && this->Catalog && this->Ready)
       std::exchange(this->Ready, nullptr)();
@@ -479,6 +494,7 @@
   void tick() {
     base::TimePoint Now = this->Clock.now();
     this->checkTickDelay(Now);
+    this->listen();
     this->updateOutage();
     this->Table.tick(Now);
     this->publishTargets();
@@ -507,6 +523,10 @@
   }
 
   void renewLease(base::TimePoint Now) {
+    // Nobody could report to this instance, and as long as it renewed the lease
+    // nobody else would claim it.
+    if (!this->Role.isListening())
+      return;
     if (!this->HolderSilent && !this->Lease.claimedHere() &&
         !this->Lease.mayReclaim(Now))
       return;
@@ -753,6 +773,8 @@
   bool HasTargets = false;
   residency::HolderLease Lease;
   HolderRole Role;
+  /// When the link last could not be opened; none once it is open.
+  std::optional<base::TimePoint> ListenFailedAt;
   asio::steady_timer TickTimer;
   asio::steady_timer ReportTimer;
   std::function<void()> Ready;
--- a/src/control/internal/holderrole.h
+++ b/src/control/internal/holderrole.h
@@ -28,6 +28,8 @@
 
   /// Opens the socket on which instances report.
   base::Result<void> listen(messaging::Messaging &Messages);
+  /// Instances can report to this one, so that it may hold the lease.
+  bool isListening() const { return this->Server != nullptr; }
   void setCatalog(const catalog::CatalogPtr &New);
   void setTargets(const catalog::TargetListPtr &New);
   /// Sets the handler for how far instances have read the operator's log.
