Messaging: a signal during a poll is no error

Cause: ZeroMQ ends a call that a signal interrupts with EINTR, and cppzmq throws that. Socket::receive() caught nothing; send() took it for a full queue, also between two frames of one message.

Change: both repeat a call that was interrupted.

--- a/src/messaging/internal/messaging.cpp
+++ b/src/messaging/internal/messaging.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
+#include <cerrno>
 #include <utility>
 #include <vector>
 #include <zmq.hpp>
@@ -33,6 +34,18 @@
 
 const base::EnumCategory Category("messaging", textOf);
 
+/// Repeats a call that a signal has interrupted.
+template <typename Call> auto uninterrupted(Call Do) {
+  while (true) {
+    try {
+      return Do();
+    } catch (const zmq::error_t &Failure) {
+      if (Failure.num() != EINTR)
+        throw;
+    }
+  }
+}
+
 /// A ZeroMQ socket whose readiness is watched on the loop.
 class Socket {
 public:
@@ -85,7 +98,8 @@
 private:
   bool trySend(zmq::message_t &Part, zmq::send_flags Flags) {
     try {
-      return this->Raw.send(Part, Flags).has_value();
+      return uninterrupted(
+          [&] { return this->Raw.send(Part, Flags).has_value(); });
     } catch (const zmq::error_t &) {
       return false;
     }
@@ -134,7 +148,9 @@
     bool More = true;
     while (More) {
       zmq::message_t Part;
-      if (!this->Raw.recv(Part, zmq::recv_flags::dontwait))
+      auto Received = uninterrupted(
+          [&] { return this->Raw.recv(Part, zmq::recv_flags::dontwait); });
+      if (!Received)
         return {};
       More = Part.more();
       Parts.push_back(std::move(Part));
--- a/src/messaging/tests/messagingtest.cpp
+++ b/src/messaging/tests/messagingtest.cpp
@@ -1,6 +1,10 @@
 #include "messaging/messaging.h"
 
+#include <atomic>
+#include <csignal>
 #include <gtest/gtest.h>
+#include <pthread.h>
+#include <thread>
 
 using namespace kingcuphub::messaging;
 
@@ -83,3 +87,46 @@
   for (int Index = 0; Index < 1000; ++Index)
     EXPECT_EQ(Got[Index], std::to_string(Index));
 }
+
+/// Review case 12: a signal that came while a socket was polled ended the
+/// process by an exception.
+TEST(MessagingTest, ASignalDuringAPollIsNoError) {
+  struct sigaction Ignoring = {};
+  struct sigaction Before = {};
+  Ignoring.sa_handler = [](int) {};
+  ASSERT_EQ(sigaction(SIGUSR1, &Ignoring, &Before), 0);
+  asio::io_context Loop;
+  auto Side = std::move(*makeMessaging(Loop, std::nullopt));
+  std::unique_ptr<MessageServer> Server;
+  Server = std::move(*Side->serve(
+      "tcp://127.0.0.1:0", [&](const ClientName &From, std::string_view Text) {
+        Server->send(From, Text);
+      }));
+  std::size_t Echoes = 0;
+  auto Client = std::move(*Side->connect(
+      Server->endpoint(), [&Echoes](std::string_view) { ++Echoes; }));
+  std::atomic<bool> Done = false;
+  std::thread Signals([&Done, To = pthread_self()] {
+    while (!Done) {
+      pthread_kill(To, SIGUSR1);
+      std::this_thread::sleep_for(std::chrono::microseconds(20));
+    }
+  });
+  std::size_t Sent = 0;
+  auto Deadline = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+  EXPECT_NO_THROW({
+    while (std::chrono::steady_clock::now() < Deadline) {
+      constexpr std::size_t UnderWay = 100;
+      if (Sent < Echoes + UnderWay) {
+        Client->send("hello");
+        ++Sent;
+      }
+      Loop.poll();
+    }
+  });
+  Done = true;
+  Signals.join();
+  sigaction(SIGUSR1, &Before, nullptr);
+  EXPECT_TRUE(runUntil(Loop, [&] { return Echoes == Sent; }));
+  EXPECT_EQ(Client->traffic().Dropped, 0U);
+}
