--- a/src/forwarding/tests/catalogchangetest.cpp
+++ b/src/forwarding/tests/catalogchangetest.cpp
@@ -239,6 +239,7 @@
   this->serve({"s2"});
   std::vector<std::shared_ptr<Pending>> All;
   constexpr int Requests = 40;
+  All.reserve(Requests);
   for (int Each = 0; Each < Requests; ++Each)
     All.push_back(this->ask("b"));
   auto Answered = [&] {
